Lay out the workspace, the policy model and the checks

Ruled out: one package for all (the operators' command would load the node's libraries). Before: nothing. Conclusion: work can go on in parallel from here.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := -e packages/daisylift -e packages/daisylift-node -e packages/daisylift-admin
+
+.PHONY: help install lint format test demo run generate
+
+help:  ## List the targets.
+	@grep -hE '^[a-z-]+:.*## ' Makefile | sed -E 's/:.*## /\t/'
+
+install: $(VENV)/.installed  ## Make the virtual environment with the pinned libraries.
+
+$(VENV)/.installed: requirements.txt $(wildcard packages/*/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation $(PACKAGES)
+	touch $@
+
+lint: install  ## Check the format and the lint rules.
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: install  ## Format the sources and mend what the linter can.
+	$(BIN)/ruff check --fix .
+	$(BIN)/ruff format .
+
+test: install  ## Run the tests.
+	$(BIN)/python -m tests.known_red
+
+demo: install  ## Start stand-ins and three nodes, do the main job, print it, stop.
+	$(BIN)/python -m tests.fakes.demo
+
+run: install  ## As demo, but leave everything running until interrupted.
+	$(BIN)/python -m tests.fakes.demo --stay
+
+generate: install  ## Regenerate the code of the schema files (needs requirements-dev.txt).
+	$(BIN)/pip install --quiet --requirement requirements-dev.txt
+	cd packages/daisylift/src && ../../../$(BIN)/python -m grpc_tools.protoc -I . \
+		--python_out=. --grpclib_python_out=. --plugin=protoc-gen-grpclib_python=../../../$(BIN)/protoc-gen-grpclib_python \
+		daisylift/schema/*.proto
--- /dev/null
+++ b/packages/daisylift-admin/src/daisylift_admin/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command for daisylift."""
--- /dev/null
+++ b/packages/daisylift-admin/src/daisylift_admin/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of the operators' program, declared in one place."""
--- /dev/null
+++ b/packages/daisylift-admin/src/daisylift_admin/output/__init__.py
@@ -0,0 +1,1 @@
+"""Formatters of results for terminals and for pipes."""
--- /dev/null
+++ b/packages/daisylift-node/src/daisylift_node/__init__.py
@@ -0,0 +1,1 @@
+"""The daisylift node: look-ups, and passing requests to backend servers."""
--- /dev/null
+++ b/packages/daisylift-node/src/daisylift_node/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of the node, declared in one place."""
--- /dev/null
+++ b/packages/daisylift-node/src/daisylift_node/process/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as the process: application, timers, metrics, platform."""
--- /dev/null
+++ b/packages/daisylift-node/src/daisylift_node/version/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as one configuration version."""
--- /dev/null
+++ b/packages/daisylift/src/daisylift/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: functions of state and time, without input or output."""
--- /dev/null
+++ b/packages/daisylift/src/daisylift/schema/__init__.py
@@ -0,0 +1,1 @@
+"""Schema files of the remote procedure calls and the code generated from them."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of daisylift."""
--- /dev/null
+++ b/tests/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and for backend servers."""
