Carry a request over the whole thin path, as separate processes

Cause: nothing served a request yet. Before: no path. Conclusion: the path stands; each seam can now be replaced.

--- a/packages/daisylift-admin/src/daisylift_admin/cli/__init__.py
+++ b/packages/daisylift-admin/src/daisylift_admin/cli/__init__.py
@@ -1,1 +1,5 @@
 """The command line of the operators' program, declared in one place."""
+
+from daisylift_admin.cli.definition import DESCRIPTION, KEY_VARIABLE, define_flags
+
+__all__ = ['DESCRIPTION', 'KEY_VARIABLE', 'define_flags']
--- /dev/null
+++ b/packages/daisylift-admin/src/daisylift_admin/core.py
@@ -0,0 +1,59 @@
+"""The operators' program: parse, call a node, print the reply."""
+
+import asyncio
+import sys
+
+from absl import flags
+
+from daisylift_admin.cli import DESCRIPTION, KEY_VARIABLE, define_flags
+from daisylift_admin.client import OperatorClient
+from daisylift_admin.commands import ChangeOptions, run_command
+from daisylift_admin.context import Environment
+from daisylift_admin.errors import AdminError
+from daisylift_admin.output import Formatter, JsonFormatter, TextFormatter
+from daisylift_admin.status import ExitStatus
+
+
+def main(arguments: list[str], environment: Environment) -> ExitStatus:
+    """Run the program with the arguments, its own name first."""
+    values = define_flags()
+    try:
+        _, *words = values(arguments)
+    except flags.Error as error:
+        environment.print_error(str(error))
+        return ExitStatus.USAGE
+    if values.help or not words:
+        environment.stdout.write(f'{DESCRIPTION}\n{values.get_help()}\n')
+        return ExitStatus.SUCCESS if values.help else ExitStatus.USAGE
+    try:
+        text = asyncio.run(_run(words, values, environment))
+    except AdminError as error:
+        environment.print_error(str(error))
+        return error.status
+    environment.stdout.write(text)
+    return ExitStatus.SUCCESS
+
+
+def run() -> None:
+    """Enter the program from the command line."""
+    sys.exit(main(sys.argv, Environment()))
+
+
+async def _run(
+    words: list[str], values: flags.FlagValues, environment: Environment
+) -> str:
+    key = environment.variables.get(KEY_VARIABLE, '')
+    if not key:
+        raise AdminError(f'set {KEY_VARIABLE} to the shared key', ExitStatus.USAGE)
+    options = ChangeOptions(
+        base_version=values.base_version, operation_id=values.operation_id
+    )
+    async with OperatorClient(values.node, key) as client:
+        reply = await run_command(words, client, options)
+    return _formatter(values, environment).format(reply)
+
+
+def _formatter(values: flags.FlagValues, environment: Environment) -> Formatter:
+    if values.json or not environment.stdout_is_terminal:
+        return JsonFormatter()
+    return TextFormatter()
--- /dev/null
+++ b/packages/daisylift-admin/src/daisylift_admin/output/formatters.py
@@ -0,0 +1,48 @@
+"""Formatters: text for a terminal, JSON for a pipe."""
+
+import json
+from typing import Protocol
+
+from google.protobuf.json_format import MessageToDict
+from google.protobuf.message import Message
+
+from daisylift.schema import operator_pb2 as pb
+
+
+class Formatter(Protocol):
+    """Turns a reply into the text to print."""
+
+    def format(self, reply: Message) -> str:
+        """Return the text, ending in a newline."""
+
+
+class JsonFormatter:
+    """Prints any reply as JSON."""
+
+    def format(self, reply: Message) -> str:
+        """Return the reply as JSON."""
+        document = MessageToDict(reply, preserving_proto_field_name=True)
+        return json.dumps(document, indent=2) + '\n'
+
+
+class TextFormatter:
+    """Prints replies as lines for a person."""
+
+    def format(self, reply: Message) -> str:
+        """Return the reply as lines."""
+        match reply:
+            case pb.ChangeReply():
+                return f'accepted as version {reply.accepted.version}\n'
+            case pb.GetStatusReply():
+                return _status(reply)
+        return JsonFormatter().format(reply)
+
+
+def _status(reply: pb.GetStatusReply) -> str:
+    lines = [f'{reply.vm} at version {reply.version}']
+    lines.extend(
+        f'{member.ordinal:>4}  {member.vm:<16} {member.failure_domain:<16} '
+        f'{member.caller_address}'
+        for member in reply.members
+    )
+    return '\n'.join(lines) + '\n'
--- /dev/null
+++ b/packages/daisylift-node/src/daisylift_node/config.py
@@ -0,0 +1,123 @@
+"""The settings of a node: an INI file, checked at the border."""
+
+import configparser
+import ipaddress
+import socket
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    HttpUrl,
+    SecretStr,
+    ValidationError,
+)
+
+from daisylift.models.policy import MAX_PORT, Name
+from daisylift_node.errors import SettingsError
+
+MIN_KEY_LENGTH = 16
+
+
+def _ip_number(host: str) -> str:
+    return str(ipaddress.ip_address(host))
+
+
+def _long_enough(key: SecretStr) -> SecretStr:
+    if len(key.get_secret_value()) < MIN_KEY_LENGTH:
+        raise ValueError(f'needs at least {MIN_KEY_LENGTH} characters')
+    return key
+
+
+Host = Annotated[str, AfterValidator(_ip_number)]
+Port = Annotated[int, Field(ge=1, le=MAX_PORT)]
+Key = Annotated[SecretStr, AfterValidator(_long_enough)]
+
+
+class SettingsSection(BaseModel):
+    """A section that refuses keys it does not know."""
+
+    model_config = ConfigDict(frozen=True, extra='forbid')
+
+
+class VmSettings(SettingsSection):
+    """Who this VM is."""
+
+    id: Name = Field(default_factory=lambda: socket.gethostname().lower())
+    failure_domain: Name
+
+
+class ListenSettings(SettingsSection):
+    """An address to listen on."""
+
+    host: Host
+    port: Port
+
+
+class KeyedListenSettings(ListenSettings):
+    """An address to listen on for those who know the shared key."""
+
+    key: Key
+
+
+class PlatformSettings(SettingsSection):
+    """Where the platform's object API is, and how long one call may take."""
+
+    url: HttpUrl
+    timeout_seconds: Annotated[float, Field(gt=0.0, le=60.0)] = 2.0
+
+
+class StopSettings(SettingsSection):
+    """How long a planned stop announces itself and waits for work in flight."""
+
+    announce_seconds: Annotated[float, Field(ge=0.0, le=600.0)] = 3.0
+    finish_seconds: Annotated[float, Field(ge=0.0, le=3600.0)] = 30.0
+
+
+class LogSettings(SettingsSection):
+    """Level and form of the log."""
+
+    level: Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
+    format: Literal['text', 'json'] = 'text'
+
+
+class Settings(SettingsSection):
+    """All settings of a node."""
+
+    vm: VmSettings
+    caller: ListenSettings
+    operations: ListenSettings
+    operator: KeyedListenSettings
+    peer: KeyedListenSettings
+    platform: PlatformSettings
+    stop: StopSettings = StopSettings()
+    log: LogSettings = LogSettings()
+
+
+def load_settings(path: Path) -> Settings:
+    """Read and check the file; raise SettingsError with section, key and reason."""
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        with path.open(encoding='utf-8') as file:
+            parser.read_file(file)
+    except (OSError, UnicodeDecodeError, configparser.Error) as error:
+        raise SettingsError(f'{path}: {_one_line(error)}') from error
+    sections = {name: dict(parser[name]) for name in parser.sections()}
+    try:
+        return Settings.model_validate(sections)
+    except ValidationError as error:
+        raise SettingsError(f'{path}: {_first_violation(error)}') from error
+
+
+def _first_violation(error: ValidationError) -> str:
+    violation = error.errors(include_input=False)[0]
+    section, *key = (str(part) for part in violation['loc'])
+    place = f'[{section}] {".".join(key)}' if key else f'[{section}]'
+    return f'{place}: {violation["msg"]}'
+
+
+def _one_line(error: Exception) -> str:
+    return ' '.join(str(error).split())
--- /dev/null
+++ b/packages/daisylift-node/src/daisylift_node/context.py
@@ -0,0 +1,18 @@
+"""The environment a program runs in; tests pass one of their own."""
+
+import sys
+from dataclasses import dataclass, field
+from typing import TextIO
+
+
+@dataclass(frozen=True, slots=True)
+class Environment:
+    """The streams and the name of the running program."""
+
+    program: str = 'daisyliftd'
+    stdout: TextIO = field(default_factory=lambda: sys.stdout)
+    stderr: TextIO = field(default_factory=lambda: sys.stderr)
+
+    def print_error(self, message: str) -> None:
+        """Write one error line to the error stream."""
+        self.stderr.write(f'{self.program}: error: {message}\n')
--- /dev/null
+++ b/packages/daisylift-node/src/daisylift_node/process/application.py
@@ -0,0 +1,160 @@
+"""The application: owns every component, starts them, and cleans up after them."""
+
+import secrets
+from typing import Protocol
+
+from aiohttp import web
+from grpclib.server import Server
+from loguru import logger
+from prometheus_client import generate_latest
+
+from daisylift.decisions.configuration import Configuration
+from daisylift_node.config import ListenSettings, Settings
+from daisylift_node.connection.upstream import UpstreamConnections
+from daisylift_node.errors import StartError
+from daisylift_node.process.members import Members
+from daisylift_node.process.metrics import Metrics
+from daisylift_node.process.operator import OperatorService
+from daisylift_node.process.permits import PermitPool
+from daisylift_node.process.platform import PlatformClient
+from daisylift_node.process.timer import TimerService
+from daisylift_node.request.lookup import LookupHandler
+from daisylift_node.request.relay import RelayHandler
+from daisylift_node.version.configuration import ConfigurationFollower
+
+INCARNATION_BYTES = 8
+MEMBERS_PERIOD_SECONDS = 1.0
+MAX_HEADER_BYTES = 16 * 1024
+
+
+class Component(Protocol):
+    """A part with a life of its own inside the application."""
+
+    async def start(self) -> None:
+        """Begin work."""
+
+    async def stop(self) -> None:
+        """End work and clean up."""
+
+
+class Application:
+    """All parts of one node."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.incarnation = secrets.token_hex(INCARNATION_BYTES)
+        self.metrics = Metrics()
+        self.timer = TimerService()
+        self.platform = PlatformClient(settings.platform, self.metrics)
+        self.connections = UpstreamConnections()
+        self.follower = ConfigurationFollower(self.platform, self.metrics)
+        self.members = Members(settings, self.incarnation, self.platform)
+        self.permits = PermitPool()
+        self._runners: list[web.AppRunner] = []
+        self._operator_server: Server | None = None
+        self._components: tuple[Component, ...] = (
+            self.platform,
+            self.connections,
+            self.follower,
+            self.timer,
+        )
+
+    async def start(self) -> None:
+        """Start all components, then listen."""
+        self.follower.subscribe(self._on_configuration)
+        for component in self._components:
+            await component.start()
+        await self._refresh_members()
+        self.timer.subscribe(MEMBERS_PERIOD_SECONDS, self._refresh_members)
+        await self._listen(self._caller_application(), self.settings.caller)
+        await self._listen(self._operations_application(), self.settings.operations)
+        await self._listen_for_operators()
+        logger.info('{} is up', self.settings.vm.id)
+
+    async def stop(self) -> None:
+        """Stop listening, then stop all components in reverse order."""
+        if self._operator_server is not None:
+            self._operator_server.close()
+            await self._operator_server.wait_closed()
+        for runner in self._runners:
+            await runner.cleanup()
+        for component in reversed(self._components):
+            await component.stop()
+        logger.info('{} is down', self.settings.vm.id)
+
+    def is_ready(self) -> bool:
+        """Say whether callers may be sent here."""
+        return self.follower.current.version > 0 and self.members.own is not None
+
+    def _on_configuration(self, configuration: Configuration) -> None:
+        self.permits.set_configuration(configuration)
+
+    async def _refresh_members(self) -> None:
+        await self.members.refresh(self.follower.current)
+        if self.members.own is not None:
+            self.permits.set_ordinal(self.members.own.ordinal)
+
+    def _caller_application(self) -> web.Application:
+        lookup = LookupHandler(self.follower, self.members, self.metrics)
+        relay = RelayHandler(
+            self.settings, self.follower, self.permits, self.connections, self.metrics
+        )
+        application = web.Application()
+        application.router.add_get('/v1/lookup', lookup.handle)
+        application.router.add_route(
+            '*', '/v1/services/{service}/{path:.*}', relay.handle
+        )
+        return application
+
+    def _operations_application(self) -> web.Application:
+        application = web.Application()
+        application.router.add_get('/livez', self._livez)
+        application.router.add_get('/readyz', self._readyz)
+        application.router.add_get('/metrics', self._metrics)
+        return application
+
+    async def _livez(self, _: web.Request) -> web.Response:
+        return web.Response(text='alive\n')
+
+    async def _readyz(self, _: web.Request) -> web.Response:
+        if self.is_ready():
+            return web.Response(text='ready\n')
+        return web.Response(status=503, text='not ready\n')
+
+    async def _metrics(self, _: web.Request) -> web.Response:
+        return web.Response(body=generate_latest(self.metrics.registry))
+
+    async def _listen(
+        self, application: web.Application, address: ListenSettings
+    ) -> None:
+        runner = web.AppRunner(
+            application,
+            access_log=None,
+            handler_cancellation=True,
+            max_field_size=MAX_HEADER_BYTES,
+            max_line_size=MAX_HEADER_BYTES,
+        )
+        await runner.setup()
+        self._runners.append(runner)
+        try:
+            await web.TCPSite(runner, address.host, address.port).start()
+        except OSError as error:
+            raise StartError(
+                f'can not listen on {address.host}:{address.port}: {error.strerror}'
+            ) from error
+
+    async def _listen_for_operators(self) -> None:
+        address = self.settings.operator
+        service = OperatorService(
+            vm=self.settings.vm.id,
+            key=address.key.get_secret_value(),
+            follower=self.follower,
+            members=self.members,
+        )
+        self._operator_server = Server([service])
+        try:
+            await self._operator_server.start(address.host, address.port)
+        except OSError as error:
+            raise StartError(
+                f'can not listen on {address.host}:{address.port}: {error.strerror}'
+            ) from error
--- /dev/null
+++ b/packages/daisylift-node/src/daisylift_node/process/metrics.py
@@ -0,0 +1,67 @@
+"""The counters and gauges of the process, for Prometheus."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+LATENCY_BUCKETS_SECONDS = (
+    0.001,
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.5,
+    1,
+    2,
+    5,
+)
+
+
+class Metrics:
+    """All metrics of one node, in a registry of its own."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.lookups = Counter(
+            'daisylift_lookups',
+            'Look-ups answered.',
+            ['service'],
+            registry=self.registry,
+        )
+        self.requests = Counter(
+            'daisylift_requests',
+            'Requests by service and outcome.',
+            ['service', 'outcome'],
+            registry=self.registry,
+        )
+        self.refusals = Counter(
+            'daisylift_refusals',
+            'Refused requests by service and reason.',
+            ['service', 'reason'],
+            registry=self.registry,
+        )
+        self.retries = Counter(
+            'daisylift_retries',
+            'Repeated attempts by service and reason.',
+            ['service', 'reason'],
+            registry=self.registry,
+        )
+        self.platform_calls = Counter(
+            'daisylift_platform_calls',
+            'Calls to the platform by call and result.',
+            ['call', 'result'],
+            registry=self.registry,
+        )
+        self.request_seconds = Histogram(
+            'daisylift_request_seconds',
+            'Time from the request to the end of its answer.',
+            ['service'],
+            buckets=LATENCY_BUCKETS_SECONDS,
+            registry=self.registry,
+        )
+        self.configuration_version = Gauge(
+            'daisylift_configuration_version',
+            'The configuration version in force.',
+            registry=self.registry,
+        )
--- /dev/null
+++ b/packages/daisylift-node/src/daisylift_node/version/change_log.py
@@ -0,0 +1,91 @@
+"""The change log in the platform: numbered changes, each created once."""
+
+from loguru import logger
+from pydantic import ValidationError
+from returns.result import Failure, Result, Success
+
+from daisylift.models import Change
+from daisylift_node.process.platform import (
+    Conflict,
+    PlatformClient,
+    PlatformFailure,
+    StoredObject,
+    Uncertain,
+)
+
+KIND = 'changes'
+NAME_DIGITS = 12
+PAGE_SIZE = 500
+
+
+def change_name(version: int) -> str:
+    """Return the object name of a change; names sort as versions do."""
+    return f'{version:0{NAME_DIGITS}d}'
+
+
+class ChangeLog:
+    """Appends to and reads from the log."""
+
+    def __init__(self, platform: PlatformClient) -> None:
+        self._platform = platform
+
+    async def append(self, change: Change) -> Result[Change, PlatformFailure]:
+        """Create the change under its version.
+
+        A conflict carries whoever holds the version. A lost answer is resolved by
+        reading the change back; when that fails too, the outcome is uncertain.
+        """
+        name = change_name(change.version)
+        value = change.model_dump(mode='json')
+        result = await self._platform.create(KIND, name, value)
+        match result:
+            case Success():
+                return Success(change)
+            case Failure(Conflict(current=current)) if _is_same(current, change):
+                return Success(change)
+            case Failure(Uncertain() as uncertain):
+                return await self._read_back(change, uncertain)
+        return result
+
+    async def read_after(
+        self, version: int
+    ) -> Result[tuple[Change, ...], PlatformFailure]:
+        """Return the changes after the version, in order."""
+        changes: list[Change] = []
+        after = change_name(version)
+        while True:
+            page = await self._platform.list(KIND, after=after, limit=PAGE_SIZE)
+            if isinstance(page, Failure):
+                return page
+            objects = page.unwrap().objects
+            changes.extend(parsed for o in objects if (parsed := parse_change(o)))
+            if len(objects) < PAGE_SIZE:
+                return Success(tuple(changes))
+            after = objects[-1].name
+
+    async def _read_back(
+        self, change: Change, uncertain: Uncertain
+    ) -> Result[Change, PlatformFailure]:
+        found = await self._platform.get(KIND, change_name(change.version))
+        match found:
+            case Success(stored) if _is_same(stored, change):
+                return Success(change)
+            case Success(stored):
+                return Failure(Conflict(current=stored))
+        return Failure(uncertain)
+
+
+def parse_change(stored: StoredObject) -> Change | None:
+    """Return the change in a stored object, or None when it can't be read."""
+    try:
+        return Change.model_validate(stored.value)
+    except ValidationError as error:
+        logger.error('unreadable change {}: {}', stored.name, error)
+        return None
+
+
+def _is_same(stored: StoredObject | None, change: Change) -> bool:
+    if stored is None:
+        return False
+    found = parse_change(stored)
+    return found is not None and found.operation_id == change.operation_id
--- /dev/null
+++ b/packages/daisylift-node/src/daisylift_node/version/configuration.py
@@ -0,0 +1,89 @@
+"""Follows the configuration: versions only rise, and parts are told of each."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from loguru import logger
+from returns.result import Failure, Success
+
+from daisylift.decisions.configuration import Configuration, apply_change
+from daisylift.errors import PolicyError
+from daisylift.models import Change
+from daisylift_node.process.metrics import Metrics
+from daisylift_node.process.platform import PlatformClient
+from daisylift_node.version.change_log import KIND, ChangeLog
+
+WATCH_SECONDS = 20.0
+RETRY_SECONDS = 0.5
+
+Listener = Callable[[Configuration], None]
+
+
+class ConfigurationFollower:
+    """Holds the configuration in force and brings it up to date."""
+
+    def __init__(self, platform: PlatformClient, metrics: Metrics) -> None:
+        self.current = Configuration()
+        self.log = ChangeLog(platform)
+        self._platform = platform
+        self._metrics = metrics
+        self._listeners: list[Listener] = []
+        self._task: asyncio.Task[None] | None = None
+
+    def subscribe(self, listener: Listener) -> None:
+        """Tell the listener of each configuration that comes into force."""
+        self._listeners.append(listener)
+
+    async def start(self) -> None:
+        """Read what is there, then keep following."""
+        await self.catch_up()
+        self._task = asyncio.create_task(self._follow())
+
+    async def stop(self) -> None:
+        """End following."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def catch_up(self) -> bool:
+        """Read and apply the changes after the current version."""
+        result = await self.log.read_after(self.current.version)
+        match result:
+            case Success(changes):
+                self.apply(changes)
+                return True
+            case Failure(failure):
+                logger.warning('the change log can not be read: {}', failure)
+        return False
+
+    def apply(self, changes: Iterable[Change]) -> None:
+        """Bring those changes into force that follow the current version."""
+        before = self.current
+        for change in changes:
+            if change.version <= self.current.version:
+                continue
+            try:
+                self.current = apply_change(self.current, change)
+            except PolicyError as error:
+                logger.error('change {} can not be applied: {}', change.version, error)
+                break
+        if self.current.version > before.version:
+            self._announce()
+
+    def _announce(self) -> None:
+        self._metrics.configuration_version.set(self.current.version)
+        logger.info('configuration version {} is in force', self.current.version)
+        for listener in self._listeners:
+            listener(self.current)
+
+    async def _follow(self) -> None:
+        revision = 0
+        while True:
+            batch = await self._platform.watch(KIND, revision, WATCH_SECONDS)
+            match batch:
+                case Success(found):
+                    revision = found.revision
+                    if found.events:
+                        await self.catch_up()
+                case Failure():
+                    await asyncio.sleep(RETRY_SECONDS)
--- a/packages/daisylift/src/daisylift/models/__init__.py
+++ b/packages/daisylift/src/daisylift/models/__init__.py
@@ -1,5 +1,6 @@
 """Validated models of what crosses the border: policy, changes, stored objects."""
 
+from daisylift.models.change import Change, ChangeBody, PutPolicy, SetServerDrain
 from daisylift.models.policy import (
     BackendServer,
     FailureDomain,
@@ -8,12 +9,18 @@
     RosterEntry,
     Service,
 )
+from daisylift.models.roster import Claim
 
 __all__ = [
     'BackendServer',
+    'Change',
+    'ChangeBody',
+    'Claim',
     'FailureDomain',
     'Link',
     'Policy',
+    'PutPolicy',
     'RosterEntry',
     'Service',
+    'SetServerDrain',
 ]
--- /dev/null
+++ b/packages/daisylift/src/daisylift/models/change.py
@@ -0,0 +1,39 @@
+"""Changes of the configuration, as kept in the platform's change log."""
+
+from typing import Annotated, Literal
+
+from pydantic import Field
+
+from daisylift.models.policy import Name, Policy, StrictModel
+
+MAX_OPERATION_ID_LENGTH = 128
+
+OperationId = Annotated[str, Field(min_length=1, max_length=MAX_OPERATION_ID_LENGTH)]
+
+
+class PutPolicy(StrictModel):
+    """Replace the whole policy."""
+
+    kind: Literal['put_policy'] = 'put_policy'
+    policy: Policy
+
+
+class SetServerDrain(StrictModel):
+    """Start or end the drain of one backend server."""
+
+    kind: Literal['set_server_drain'] = 'set_server_drain'
+    service: Name
+    server: Name
+    draining: bool
+
+
+ChangeBody = Annotated[PutPolicy | SetServerDrain, Field(discriminator='kind')]
+
+
+class Change(StrictModel):
+    """One accepted change; ``version`` numbers it and the configuration it makes."""
+
+    version: Annotated[int, Field(ge=1)]
+    operation_id: OperationId
+    operator: str = ''
+    body: ChangeBody
