Stop the platform stand-in without waiting for its watchers

Cause: aiohttp's run_app waits up to 60 s for open requests, and a watch is one for 20 s. Ruled out: the nodes' stop, which took 25 ms each.

--- a/tests/fakes/platform.py
+++ b/tests/fakes/platform.py
@@ -219,6 +219,7 @@
         host='127.0.0.1',
         port=arguments.port,
         print=None,
+        shutdown_timeout=0.1,
         access_log=None,
     )
 
