Keep the HTTP client from sending a request twice

Cause: aiohttp repeats PUT, DELETE and GET by itself when a kept connection breaks. A write to the platform whose answer was lost came back as a conflict with itself, and a backend server would have run a PUT twice. Found by test_lost_answer_is_uncertain_and_took_effect, which failed with Conflict. Ruled out: turning off kept connections (a new one costs about 1 ms), and the client's private _retry_connection switch. Before: 2 PUTs for one call. After: one, and the loss is told as uncertain. Conclusion: a per-request middleware is the fence.

--- a/packages/daisylift-node/src/daisylift_node/process/platform.py
+++ b/packages/daisylift-node/src/daisylift_node/process/platform.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from daisylift_node.config import PlatformSettings
+from daisylift_node.connection.send_once import SendOnce
 from daisylift_node.process.metrics import Metrics
 
 MAX_VALUE_BYTES = 1024 * 1024
@@ -216,6 +217,7 @@
                 headers=headers,
                 data=data,
                 timeout=aiohttp.ClientTimeout(total=timeout_seconds),
+                middlewares=(SendOnce(),),
             ) as response:
                 return _judge(response.status, await response.read())
         except aiohttp.ClientConnectorError as error:
--- a/packages/daisylift-node/src/daisylift_node/request/relay.py
+++ b/packages/daisylift-node/src/daisylift_node/request/relay.py
@@ -14,6 +14,7 @@
 from daisylift.models import BackendServer, Service
 from daisylift.outcome import Outcome
 from daisylift_node.config import Settings
+from daisylift_node.connection.send_once import SendOnce
 from daisylift_node.connection.upstream import READ_CHUNK_BYTES, UpstreamConnections
 from daisylift_node.process.metrics import Metrics
 from daisylift_node.process.permits import Permit, PermitPool
@@ -141,6 +142,7 @@
                 data=body if request.can_read_body else None,
                 allow_redirects=False,
                 timeout=aiohttp.ClientTimeout(total=attempt.timeout_seconds),
+                middlewares=(SendOnce(),),
             ) as upstream:
                 return await _pass_answer(request, upstream)
         except aiohttp.ClientConnectorError as error:
