--- a/packages/daisylift-node/src/daisylift_node/core.py
+++ b/packages/daisylift-node/src/daisylift_node/core.py
@@ -50,7 +50,7 @@
 
 
 def _serve(settings: Settings, environment: Environment) -> ExitStatus:
-    configure_logs(settings.log, environment.stderr)
+    configure_logs(settings.log, environment.stderr, vm=settings.vm.id)
     service = ApplicationService(application=Application(settings))
     stop_seconds = (
         settings.stop.announce_seconds
--- a/packages/daisylift-node/src/daisylift_node/process/logs.py
+++ b/packages/daisylift-node/src/daisylift_node/process/logs.py
@@ -1,23 +1,51 @@
-"""Structured logs, as text for people or as JSON for machines."""
+"""Structured logs, as text for people or as JSON lines for machines."""
 
-import sys
-from typing import TextIO
+import json
+from typing import TYPE_CHECKING, TextIO
 
 from loguru import logger
 
 from daisylift_node.config import LogSettings
 
-TEXT_FORMAT = '{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level: <7} {message} {extra}'
+if TYPE_CHECKING:
+    from loguru import Message
 
+TEXT_FORMAT = '{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level: <7} {message} {extra}\n'
 
-def configure_logs(settings: LogSettings, stream: TextIO = sys.stderr) -> None:
+
+def configure_logs(settings: LogSettings, stream: TextIO, vm: str = '') -> None:
     """Send the log to the stream in the form that the settings ask for."""
     logger.remove()
+    logger.configure(extra={'vm': vm} if vm else {})
+    if settings.format == 'json':
+        logger.add(JsonLines(stream), level=settings.level)
+        return
     logger.add(
         stream,
         level=settings.level,
         format=TEXT_FORMAT,
-        serialize=settings.format == 'json',
         backtrace=False,
         diagnose=False,
     )
+
+
+class JsonLines:
+    """Writes each log message as one JSON object on a line."""
+
+    def __init__(self, stream: TextIO) -> None:
+        self._stream = stream
+
+    def __call__(self, message: 'Message') -> None:
+        """Write the message with its level, place and bound values."""
+        record = message.record
+        line = {
+            'time': record['time'].isoformat(),
+            'level': record['level'].name,
+            'message': record['message'],
+            'module': record['name'],
+            **record['extra'],
+        }
+        if record['exception'] is not None:
+            line['exception'] = repr(record['exception'].value)
+        self._stream.write(json.dumps(line, default=str) + '\n')
+        self._stream.flush()
--- /dev/null
+++ b/tests/test_node_core.py
@@ -0,0 +1,46 @@
+"""Tests of the node's program, run in-process with an environment of its own."""
+
+import io
+from pathlib import Path
+
+import pytest
+
+from daisylift_node.context import Environment
+from daisylift_node.core import main
+from daisylift_node.status import ExitStatus
+
+EXAMPLE = Path(__file__).resolve().parents[1] / 'examples' / 'kanga' / 'node.ini'
+
+
+def run(*arguments: str) -> tuple[ExitStatus, str, str]:
+    environment = Environment(stdout=io.StringIO(), stderr=io.StringIO())
+    status = main(['daisyliftd', *arguments], environment)
+    return status, environment.stdout.getvalue(), environment.stderr.getvalue()
+
+
+def test_check_says_fine():
+    status, stdout, _ = run('--settings', str(EXAMPLE), '--check')
+    assert status is ExitStatus.SUCCESS
+    assert 'the settings are fine' in stdout
+
+
+def test_help_shows_usage():
+    status, stdout, _ = run('--help')
+    assert status is ExitStatus.SUCCESS
+    assert 'daisyliftd --settings FILE' in stdout
+
+
+@pytest.mark.parametrize(
+    ('arguments', 'status'),
+    [
+        ([], ExitStatus.USAGE),
+        (['--colour'], ExitStatus.USAGE),
+        (['--settings', str(EXAMPLE), 'more'], ExitStatus.USAGE),
+        (['--settings', 'nowhere.ini'], ExitStatus.SETTINGS),
+    ],
+)
+def test_bad_call_is_one_error_line(arguments, status):
+    found, _, stderr = run(*arguments)
+    assert found is status
+    assert stderr.startswith('daisyliftd: error: ')
+    assert stderr.count('\n') == 1
