--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 PACKAGES := -e packages/daisylift -e packages/daisylift-node -e packages/daisylift-admin
 
-.PHONY: help install lint format test demo run generate
+.PHONY: help install lint format test demo run bench generate
 
 help:  ## List the targets.
 	@grep -hE '^[a-z-]+:.*## ' Makefile | sed -E 's/:.*## /\t/'
@@ -33,6 +33,9 @@
 run: install  ## As demo, but leave everything running until interrupted.
 	$(BIN)/python -m tests.fakes.demo --stay
 
+bench: install  ## Print the measures of the brief for both workloads (not in CI).
+	$(BIN)/python -m bench.measures
+
 generate: install  ## Regenerate the code of the schema files (needs requirements-dev.txt).
 	$(BIN)/pip install --quiet --requirement requirements-dev.txt
 	cd packages/daisylift/src && ../../../$(BIN)/python -m grpc_tools.protoc -I . \
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, run by command and not in CI; each prints a plain table."""
--- /dev/null
+++ b/bench/tables.py
@@ -0,0 +1,37 @@
+"""Plain tables, and the machine and load that the figures come from."""
+
+import os
+import platform
+import statistics
+from collections.abc import Sequence
+
+
+def print_machine() -> None:
+    """Print what the figures were taken on, and how busy it was."""
+    load = os.getloadavg()[0]
+    print(
+        f'machine: {platform.machine()}, {os.cpu_count()} cores, '
+        f'Python {platform.python_version()}, load average {load:.1f}'
+    )
+
+
+def print_table(title: str, columns: Sequence[str], rows: Sequence[Sequence]) -> None:
+    """Print rows under their columns, as a Markdown table."""
+    print(f'\n{title}\n')
+    print('| ' + ' | '.join(columns) + ' |')
+    print('| ' + ' | '.join('---' for _ in columns) + ' |')
+    for row in rows:
+        print('| ' + ' | '.join(str(cell) for cell in row) + ' |')
+
+
+def quantile(values: Sequence[float], share: float) -> float:
+    """Return the value below which the share of the values lies."""
+    ordered = sorted(values)
+    if not ordered:
+        return float('nan')
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def median_of(values: Sequence[float]) -> float:
+    """Return the median, or not-a-number of nothing."""
+    return statistics.median(values) if values else float('nan')
--- a/tests/fakes/upstream.py
+++ b/tests/fakes/upstream.py
@@ -6,6 +6,7 @@
 import argparse
 import asyncio
 import json
+import time
 from collections import Counter
 from dataclasses import dataclass, field
 
@@ -40,6 +41,7 @@
     executions: Counter[str] = field(default_factory=Counter)
     in_flight: int = 0
     most_in_flight: int = 0
+    last_started_at: float = 0.0
 
     def application(self) -> web.Application:
         """Return the HTTP application of the server."""
@@ -109,6 +111,7 @@
         self.in_flight += 1
         self.most_in_flight = max(self.most_in_flight, self.in_flight)
         self.executions[what] += 1
+        self.last_started_at = time.monotonic()
         try:
             await asyncio.sleep(self.behaviour.work_seconds)
         finally:
@@ -121,8 +124,12 @@
         return answer_headers
 
     async def _control(self, request: web.Request) -> web.Response:
-        """Change the behaviour by a JSON document."""
-        for name, value in (await request.json()).items():
+        """Change the behaviour by a JSON document; ``reset`` clears the counts."""
+        document = await request.json()
+        if document.pop('reset', False):
+            self.executions.clear()
+            self.most_in_flight = self.in_flight
+        for name, value in document.items():
             setattr(self.behaviour, name, value)
         return web.json_response({})
 
@@ -132,6 +139,7 @@
                 'executions': self.executions,
                 'in_flight': self.in_flight,
                 'most_in_flight': self.most_in_flight,
+                'last_started_at': self.last_started_at,
             }
         )
 
