Carry messages between nodes in authenticated datagrams

Cause: the nodes had no way to talk to each other. Conclusion: protobuf in UDP under an HMAC. Garbage, strangers, oversized and replayed datagrams are counted and dropped; delivery is not promised. Incarnations now sort.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, each run by ``python -m bench.NAME``."""
--- /dev/null
+++ b/bench/peers.py
@@ -0,0 +1,163 @@
+"""Compare ways to carry a message between nodes: datagrams and gRPC.
+
+Run ``python -m bench.peers``. Both sides run in this process, so that the processor
+time is that of both together; loopback, uvloop, median of several rounds.
+"""
+
+import asyncio
+import contextlib
+import os
+import socket
+import statistics
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import uvloop
+from grpclib.client import Channel
+from grpclib.const import Cardinality, Handler
+from grpclib.server import Server, Stream
+
+from daisylift.schema import peer_pb2 as pb
+from daisylift_node.config import KeyedListenSettings
+from daisylift_node.connection.peers import PeerLink, new_incarnation
+from daisylift_node.process.metrics import Metrics
+
+ROUNDS = 5
+MESSAGES = 2000
+CALLS = 300
+BURST = 16
+KEY = 'a-key-for-the-bench'
+UNARY = '/bench.Peer/Unary'
+STREAM = '/bench.Peer/Stream'
+
+Measure = Callable[[], Awaitable[float]]
+
+
+class GrpcPeer:
+    """A gRPC server that answers probes, one a call or many on a stream."""
+
+    def __mapping__(self) -> dict[str, Handler]:
+        """Return the handlers, keyed by path, as grpclib asks for them."""
+        types = pb.Probe, pb.ProbeAnswer
+        return {
+            UNARY: Handler(self._answer, Cardinality.UNARY_UNARY, *types),
+            STREAM: Handler(self._answer, Cardinality.STREAM_STREAM, *types),
+        }
+
+    async def _answer(self, stream: Stream) -> None:
+        async for _ in stream:
+            await stream.send_message(pb.ProbeAnswer())
+
+
+def free_port(kind: socket.SocketKind = socket.SOCK_DGRAM) -> int:
+    """Return a port that was free a moment ago."""
+    with socket.socket(socket.AF_INET, kind) as one:
+        one.bind(('127.0.0.1', 0))
+        return one.getsockname()[1]
+
+
+@contextlib.asynccontextmanager
+async def running_link(vm: str) -> AsyncIterator[tuple[PeerLink, tuple[str, int]]]:
+    """Open a peer link; give it and its address."""
+    settings = KeyedListenSettings(host='127.0.0.1', port=free_port(), key=KEY)
+    link = PeerLink(settings, vm, new_incarnation(), Metrics())
+    await link.start()
+    try:
+        yield link, (settings.host, settings.port)
+    finally:
+        await link.stop()
+
+
+async def one_way() -> float:
+    """Send datagrams one way; return the processor time of one, in us."""
+    async with running_link('vm-0') as (link, _), running_link('vm-1') as (peer, to):
+        seen = []
+        peer.subscribe('probe', lambda received: seen.append(received.request_id))
+        before = time.process_time()
+        for number in range(MESSAGES):
+            link.send(to, pb.Probe())
+            if number % BURST == 0:
+                await asyncio.sleep(0)
+        await asyncio.sleep(0.05)
+        spent = time.process_time() - before
+        return spent / max(len(seen), 1) * 1e6
+
+
+async def request_and_reply() -> float:
+    """Ask by datagram and await the reply; return the processor time, in us."""
+    async with running_link('vm-0') as (link, _), running_link('vm-1') as (peer, to):
+        peer.subscribe('probe', lambda received: pb.ProbeAnswer())
+        before = time.process_time()
+        for _ in range(MESSAGES):
+            (await link.request(to, pb.Probe(), 5.0)).unwrap()
+        return (time.process_time() - before) / MESSAGES * 1e6
+
+
+async def grpc_stream() -> float:
+    """Send and receive on one open gRPC stream; return the processor time, in us."""
+    async with running_grpc() as channel:
+        opening = channel.request(
+            STREAM, Cardinality.STREAM_STREAM, pb.Probe, pb.ProbeAnswer
+        )
+        async with opening as stream:
+            before = time.process_time()
+            for _ in range(CALLS):
+                await stream.send_message(pb.Probe())
+                await stream.recv_message()
+            spent = time.process_time() - before
+            await stream.end()
+        return spent / CALLS * 1e6
+
+
+async def grpc_unary() -> float:
+    """Make unary gRPC calls on one connection; return the processor time, in us."""
+    async with running_grpc() as channel:
+        before = time.process_time()
+        for _ in range(CALLS):
+            opening = channel.request(
+                UNARY, Cardinality.UNARY_UNARY, pb.Probe, pb.ProbeAnswer
+            )
+            async with opening as stream:
+                await stream.send_message(pb.Probe(), end=True)
+                await stream.recv_message()
+        return (time.process_time() - before) / CALLS * 1e6
+
+
+@contextlib.asynccontextmanager
+async def running_grpc() -> AsyncIterator[Channel]:
+    """Serve and connect to a gRPC peer."""
+    server = Server([GrpcPeer()])
+    port = free_port(socket.SOCK_STREAM)
+    await server.start('127.0.0.1', port)
+    channel = Channel('127.0.0.1', port)
+    try:
+        yield channel
+    finally:
+        channel.close()
+        server.close()
+        await server.wait_closed()
+
+
+async def measure(name: str, run: Measure) -> None:
+    """Run several rounds and print their median, least and most."""
+    rounds = [await run() for _ in range(ROUNDS)]
+    print(
+        f'{name:<34} {statistics.median(rounds):8.0f} '
+        f'{min(rounds):8.0f} {max(rounds):8.0f}'
+    )
+
+
+async def main() -> None:
+    """Print the table."""
+    print(f'{os.cpu_count()} cores, load {os.getloadavg()[0]:.1f}')
+    print(
+        f'{"us of processor time, both sides":<34} {"median":>8} {"min":>8} {"max":>8}'
+    )
+    await measure('datagram, one way', one_way)
+    await measure('datagram, request and reply', request_and_reply)
+    await measure('gRPC, open stream, there and back', grpc_stream)
+    await measure('gRPC, unary call', grpc_unary)
+
+
+if __name__ == '__main__':
+    uvloop.run(main())
--- /dev/null
+++ b/packages/daisylift-node/src/daisylift_node/connection/datagram.py
@@ -0,0 +1,135 @@
+"""The form of a peer datagram: a format byte, an HMAC, and the envelope.
+
+A datagram that fails any check is dropped with a reason; nothing in it is trusted,
+or shown in a log, before its HMAC was found right.
+"""
+
+import enum
+import hmac
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from google.protobuf.message import DecodeError
+
+from daisylift.models.policy import MAX_NAME_LENGTH
+from daisylift.schema import peer_pb2 as pb
+from daisylift_node.errors import PeerMessageError
+
+FORMAT = b'\x01'
+DIGEST_BYTES = 16
+HEADER_BYTES = len(FORMAT) + DIGEST_BYTES
+MAX_DATAGRAM_BYTES = 1200
+REPLAY_WINDOW = 1024
+MAX_SENDERS = 4096
+
+_WINDOW_MASK = (1 << REPLAY_WINDOW) - 1
+
+
+class DropReason(enum.Enum):
+    """Why a datagram was dropped."""
+
+    OVERSIZED = 'oversized'
+    GARBAGE = 'garbage'
+    WRONG_KEY = 'wrong-key'
+    OWN = 'own'
+    OLD_INCARNATION = 'old-incarnation'
+    REPLAYED = 'replayed'
+    UNKNOWN_BODY = 'unknown-body'
+    NO_HANDLER = 'no-handler'
+    LATE_REPLY = 'late-reply'
+
+
+@dataclass(frozen=True, slots=True)
+class Drop:
+    """A datagram was not accepted."""
+
+    reason: DropReason
+
+
+class DatagramCodec:
+    """Turns envelopes into datagrams and back, under the shared key."""
+
+    def __init__(self, key: str) -> None:
+        self._key = key.encode()
+
+    def encode(self, envelope: pb.Envelope) -> bytes:
+        """Return the datagram; raise PeerMessageError when it is too large."""
+        content = envelope.SerializeToString()
+        if HEADER_BYTES + len(content) > MAX_DATAGRAM_BYTES:
+            raise PeerMessageError(
+                f'a {envelope.WhichOneof("body")} of {len(content)} bytes does not '
+                f'fit a datagram of {MAX_DATAGRAM_BYTES}'
+            )
+        return FORMAT + self._digest(content) + content
+
+    def decode(self, data: bytes) -> pb.Envelope | Drop:
+        """Return the envelope of a datagram, or why it was dropped."""
+        if len(data) > MAX_DATAGRAM_BYTES:
+            return Drop(DropReason.OVERSIZED)
+        if len(data) <= HEADER_BYTES or not data.startswith(FORMAT):
+            return Drop(DropReason.GARBAGE)
+        content = data[HEADER_BYTES:]
+        given = data[len(FORMAT) : HEADER_BYTES]
+        if not hmac.compare_digest(given, self._digest(content)):
+            return Drop(DropReason.WRONG_KEY)
+        try:
+            envelope = pb.Envelope.FromString(content)
+        except DecodeError:
+            return Drop(DropReason.GARBAGE)
+        if not 0 < len(envelope.vm) <= MAX_NAME_LENGTH:
+            return Drop(DropReason.GARBAGE)
+        return envelope
+
+    def _digest(self, content: bytes) -> bytes:
+        return hmac.digest(self._key, content, 'sha256')[:DIGEST_BYTES]
+
+
+@dataclass(slots=True)
+class _Window:
+    incarnation: int
+    highest: int
+    seen: int
+
+
+class ReplayFilter:
+    """Drops repeats, and what comes from an older incarnation of a known sender.
+
+    Numbers may cross within a window; what is older than the window is dropped. The
+    senders heard last are remembered, a bounded number of them.
+    """
+
+    def __init__(self) -> None:
+        self._window_by_vm: OrderedDict[str, _Window] = OrderedDict()
+
+    def check(self, envelope: pb.Envelope) -> Drop | None:
+        """Note the envelope; return why it is to be dropped, or None."""
+        window = self._window_by_vm.get(envelope.vm)
+        if window is None or envelope.incarnation > window.incarnation:
+            self._remember(envelope)
+            return None
+        if envelope.incarnation < window.incarnation:
+            return Drop(DropReason.OLD_INCARNATION)
+        self._window_by_vm.move_to_end(envelope.vm)
+        return _advance(window, envelope.sequence)
+
+    def _remember(self, envelope: pb.Envelope) -> None:
+        self._window_by_vm[envelope.vm] = _Window(
+            envelope.incarnation, envelope.sequence, 1
+        )
+        self._window_by_vm.move_to_end(envelope.vm)
+        if len(self._window_by_vm) > MAX_SENDERS:
+            self._window_by_vm.popitem(last=False)
+
+
+def _advance(window: _Window, sequence: int) -> Drop | None:
+    ahead = sequence - window.highest
+    if ahead > 0:
+        kept = window.seen << ahead if ahead < REPLAY_WINDOW else 0
+        window.seen = (kept | 1) & _WINDOW_MASK
+        window.highest = sequence
+        return None
+    bit = 1 << -ahead if -ahead < REPLAY_WINDOW else 0
+    if bit == 0 or window.seen & bit:
+        return Drop(DropReason.REPLAYED)
+    window.seen |= bit
+    return None
--- a/packages/daisylift-node/src/daisylift_node/errors.py
+++ b/packages/daisylift-node/src/daisylift_node/errors.py
@@ -9,3 +9,7 @@
 
 class StartError(DaisyliftError):
     """The node could not start, for example because a port is taken."""
+
+
+class PeerMessageError(DaisyliftError):
+    """A message to a peer can not be sent, for example because it is too large."""
--- a/packages/daisylift-node/src/daisylift_node/process/application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/application.py
@@ -1,6 +1,5 @@
 """The application: owns every component, starts them, and cleans up after them."""
 
-import secrets
 from typing import Protocol
 
 from aiohttp import web
@@ -10,6 +9,7 @@
 
 from daisylift.decisions.configuration import Configuration
 from daisylift_node.config import ListenSettings, Settings
+from daisylift_node.connection.peers import PeerLink, new_incarnation
 from daisylift_node.connection.upstream import UpstreamConnections
 from daisylift_node.errors import StartError
 from daisylift_node.process.members import Members
@@ -22,7 +22,6 @@
 from daisylift_node.request.relay import RelayHandler
 from daisylift_node.version.configuration import ConfigurationFollower
 
-INCARNATION_BYTES = 8
 MEMBERS_PERIOD_SECONDS = 1.0
 MAX_HEADER_BYTES = 16 * 1024
 
@@ -42,10 +41,13 @@
 
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
-        self.incarnation = secrets.token_hex(INCARNATION_BYTES)
+        self.incarnation = new_incarnation()
         self.metrics = Metrics()
         self.timer = TimerService()
         self.platform = PlatformClient(settings.platform, self.metrics)
+        self.peers = PeerLink(
+            settings.peer, settings.vm.id, self.incarnation, self.metrics
+        )
         self.connections = UpstreamConnections()
         self.follower = ConfigurationFollower(self.platform, self.metrics)
         self.members = Members(settings, self.incarnation, self.platform)
@@ -54,6 +56,7 @@
         self._operator_server: Server | None = None
         self._components: tuple[Component, ...] = (
             self.platform,
+            self.peers,
             self.connections,
             self.follower,
             self.timer,
@@ -87,11 +90,13 @@
         return self.follower.current.version > 0 and self.members.own is not None
 
     def _on_configuration(self, configuration: Configuration) -> None:
+        self.peers.configuration_version = configuration.version
         self.permits.set_configuration(configuration)
 
     async def _refresh_members(self) -> None:
         await self.members.refresh(self.follower.current)
         if self.members.own is not None:
+            self.peers.ordinal = self.members.own.ordinal
             self.permits.set_ordinal(self.members.own.ordinal)
 
     def _caller_application(self) -> web.Application:
--- a/packages/daisylift-node/src/daisylift_node/process/metrics.py
+++ b/packages/daisylift-node/src/daisylift_node/process/metrics.py
@@ -53,6 +53,18 @@
             ['call', 'result'],
             registry=self.registry,
         )
+        self.peer_datagrams = Counter(
+            'daisylift_peer_datagrams',
+            'Datagrams sent to peers and accepted from them, by direction.',
+            ['direction'],
+            registry=self.registry,
+        )
+        self.peer_drops = Counter(
+            'daisylift_peer_drops',
+            'Datagrams of the peer port dropped, by reason.',
+            ['reason'],
+            registry=self.registry,
+        )
         self.request_seconds = Histogram(
             'daisylift_request_seconds',
             'Time from the request to the end of its answer.',
