Apportion slots by bounded rings and wait for the losers' confirmation

Cause: the thin path gave slot i to the i-th ordinal in turn, so any change of the roster moved nearly every slot, and nothing kept a losing and a gaining node from using one slot at the same time.

Ruled out: weighted rendezvous over all ordinals, as 930 x 21,600 hashes for one full layout are over the control budget of a second; quotas of the live ordinals alone, as a vacancy then moves slots of ordinals that are alive.

Now a layout is placed on consistent-hash rings with exact quotas (own failure domain, region, all), and a vacant ordinal's slots alone are spread over the rest.

A node records what each ordinal lost by each version and uses a slot only when every former owner has confirmed. A doubtful request keeps its slot until its deadline and a grace are over. The follower announces each version in turn, since a skipped layout costs the node a wait for all ordinals. An ordinal's vacancy is a change in the log with an epoch, so that a late vacancy can not hit a new holder. Confirmations are not sent yet: a slot that moves stays unused until they are.

--- a/packages/daisylift-node/src/daisylift_node/process/application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/application.py
@@ -24,6 +24,7 @@
 
 INCARNATION_BYTES = 8
 MEMBERS_PERIOD_SECONDS = 1.0
+PERMITS_PERIOD_SECONDS = 0.1
 MAX_HEADER_BYTES = 16 * 1024
 
 
@@ -66,6 +67,7 @@
             await component.start()
         await self._refresh_members()
         self.timer.subscribe(MEMBERS_PERIOD_SECONDS, self._refresh_members)
+        self.timer.subscribe(PERMITS_PERIOD_SECONDS, self.permits.tick)
         await self._listen(self._caller_application(), self.settings.caller)
         await self._listen(self._operations_application(), self.settings.operations)
         await self._listen_for_operators()
--- a/packages/daisylift-node/src/daisylift_node/version/configuration.py
+++ b/packages/daisylift-node/src/daisylift_node/version/configuration.py
@@ -57,8 +57,10 @@
         return False
 
     def apply(self, changes: Iterable[Change]) -> None:
-        """Bring those changes into force that follow the current version."""
-        before = self.current
+        """Bring those changes into force that follow the current version.
+
+        Each version is announced: slot shares must see every layout in turn.
+        """
         for change in changes:
             if change.version <= self.current.version:
                 continue
@@ -67,7 +69,6 @@
             except PolicyError as error:
                 logger.error('change {} can not be applied: {}', change.version, error)
                 break
-        if self.current.version > before.version:
             self._announce()
 
     def _announce(self) -> None:
--- /dev/null
+++ b/packages/daisylift/src/daisylift/decisions/apportion.py
@@ -0,0 +1,208 @@
+"""The apportionment of every backend server's slots and connections to ordinals.
+
+A pure function of the policy and the vacant ordinals: every node computes the same
+layout, and each slot index of a server has exactly one owner in it.
+"""
+
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from daisylift.decisions.configuration import ServerKey
+from daisylift.decisions.ring import Ring, RingWalk, stable_hash
+from daisylift.models import BackendServer, Policy, Service
+
+Owners = tuple[int, ...]
+WalkOfDomain = Callable[[str], RingWalk | None]
+
+
+@dataclass(frozen=True, slots=True)
+class Layout:
+    """The owner ordinal of each slot index, by server."""
+
+    owners_by_server: Mapping[ServerKey, Owners] = field(default_factory=dict)
+
+    def mask(self, server: ServerKey, ordinal: int) -> int:
+        """Return the slot indexes of the server that the ordinal owns, as bits."""
+        owners = self.owners_by_server.get(server, ())
+        return sum(1 << slot for slot, owner in enumerate(owners) if owner == ordinal)
+
+
+EMPTY_LAYOUT = Layout()
+
+
+@dataclass(slots=True)
+class _Slot:
+    """One slot of the service at hand; ``hash`` places it on the rings."""
+
+    server: BackendServer
+    index: int
+    hash: int
+    owner: int = -1
+
+
+class Apportioner:
+    """Computes layouts, and keeps what did not change since the last one."""
+
+    def __init__(self) -> None:
+        self._rings: _Rings | None = None
+        self._base_by_service: dict[str, tuple[Service, list[_Slot]]] = {}
+        self._last: tuple[Policy, frozenset[int], Layout] | None = None
+
+    def apportion(self, policy: Policy, vacant: frozenset[int]) -> Layout:
+        """Return the layout of the policy when the vacant ordinals own nothing."""
+        if self._last is not None:
+            last_policy, last_vacant, layout = self._last
+            if last_policy is policy and last_vacant == vacant:
+                return layout
+        self._follow_roster(policy)
+        layout = Layout(self._owners(policy, vacant))
+        self._last = (policy, vacant, layout)
+        return layout
+
+    def _follow_roster(self, policy: Policy) -> None:
+        regions = policy.regions_by_failure_domain()
+        if self._rings is None or not self._rings.are_of(policy, regions):
+            self._rings = _Rings(policy, regions)
+            self._base_by_service.clear()
+        names = {service.name for service in policy.services}
+        for name in self._base_by_service.keys() - names:
+            del self._base_by_service[name]
+
+    def _owners(
+        self, policy: Policy, vacant: frozenset[int]
+    ) -> dict[ServerKey, Owners]:
+        if not self._rings.ordinals:
+            return {}
+        owners_by_server: dict[ServerKey, Owners] = {}
+        for service in policy.services:
+            slots = self._base(service)
+            moved = _move_from_vacant(service.name, slots, self._rings, vacant)
+            for server, owners in _by_server(slots, moved).items():
+                owners_by_server[ServerKey(service.name, server)] = owners
+        return owners_by_server
+
+    def _base(self, service: Service) -> list[_Slot]:
+        known = self._base_by_service.get(service.name)
+        if known is not None and known[0].servers == service.servers:
+            return known[1]
+        slots = _slots(service)
+        room = _quotas(service.name, len(slots), self._rings.ordinals)
+        for slot, owner in zip(slots, self._rings.place(slots, room), strict=True):
+            slot.owner = owner
+        self._base_by_service[service.name] = (service, slots)
+        return slots
+
+
+def apportion(policy: Policy, vacant: frozenset[int] = frozenset()) -> Layout:
+    """Return the layout of the policy, computed from nothing."""
+    return Apportioner().apportion(policy, vacant)
+
+
+def spare_connections(server: BackendServer, ordinals: int) -> int:
+    """Return how many connections each ordinal may hold beyond its permits.
+
+    A permit carries one connection of its server when the server has as many
+    connections as slots; what is left is split evenly over the whole roster.
+    """
+    if ordinals == 0:
+        return 0
+    return max(0, server.connections - server.slots) // ordinals
+
+
+class _Rings:
+    """The rings of one roster: by failure domain, by region, and of all."""
+
+    def __init__(self, policy: Policy, regions: dict[str, str]) -> None:
+        self._roster = policy.roster
+        self._regions = regions
+        by_domain: dict[str, list[int]] = {}
+        by_region: dict[str, list[int]] = {}
+        for entry in policy.roster:
+            region = regions[entry.failure_domain]
+            by_domain.setdefault(entry.failure_domain, []).append(entry.ordinal)
+            by_region.setdefault(region, []).append(entry.ordinal)
+        self.ordinals = [entry.ordinal for entry in policy.roster]
+        self._by_domain = {name: Ring(held) for name, held in by_domain.items()}
+        self._by_region = {name: Ring(held) for name, held in by_region.items()}
+        self._all = Ring(self.ordinals)
+
+    def are_of(self, policy: Policy, regions: dict[str, str]) -> bool:
+        """Say whether these are the rings of the policy's roster."""
+        return self._roster == policy.roster and self._regions == regions
+
+    def place(self, slots: Sequence[_Slot], room: dict[int, int]) -> list[int]:
+        """Return an owner with room for each slot, the nearest first."""
+        owners = [-1] * len(slots)
+        pending: Iterable[int] = range(len(slots))
+        domains = {name: RingWalk(r, room) for name, r in self._by_domain.items()}
+        pending = _place(slots, pending, owners, domains.get)
+        regions = {name: RingWalk(r, room) for name, r in self._by_region.items()}
+        pending = _place(
+            slots, pending, owners, lambda name: regions.get(self._regions[name])
+        )
+        anywhere = RingWalk(self._all, room)
+        _place(slots, pending, owners, lambda _: anywhere)
+        return owners
+
+
+def _place(
+    slots: Sequence[_Slot],
+    pending: Iterable[int],
+    owners: list[int],
+    walk_of_domain: WalkOfDomain,
+) -> list[int]:
+    left = []
+    for position in pending:
+        slot = slots[position]
+        walk = walk_of_domain(slot.server.failure_domain)
+        owner = walk.take(slot.hash) if walk is not None else None
+        if owner is None:
+            left.append(position)
+        else:
+            owners[position] = owner
+    return left
+
+
+def _slots(service: Service) -> list[_Slot]:
+    slots = [
+        _Slot(server, index, stable_hash(f'{service.name}/{server.name}/{index}'))
+        for server in service.servers
+        for index in range(server.slots)
+    ]
+    slots.sort(key=lambda slot: slot.hash)
+    return slots
+
+
+def _quotas(service: str, total: int, ordinals: Sequence[int]) -> dict[int, int]:
+    """Split the total evenly; who gets one more is a matter of a hash."""
+    share, rest = divmod(total, len(ordinals))
+    ranked = sorted(ordinals, key=lambda o: stable_hash(f'{service}#{o}'))
+    return {o: share + (rank < rest) for rank, o in enumerate(ranked)}
+
+
+def _move_from_vacant(
+    service: str, slots: list[_Slot], rings: _Rings, vacant: frozenset[int]
+) -> dict[int, int]:
+    """Return the new owners of the vacant ordinals' slots, by position."""
+    live = [ordinal for ordinal in rings.ordinals if ordinal not in vacant]
+    if not live or not vacant:
+        return {}
+    room = _quotas(service, len(slots), live)
+    moving = []
+    for position, slot in enumerate(slots):
+        if slot.owner in vacant:
+            moving.append(position)
+        else:
+            room[slot.owner] -= 1
+    owners = rings.place([slots[position] for position in moving], room)
+    return dict(zip(moving, owners, strict=True))
+
+
+def _by_server(slots: list[_Slot], moved: dict[int, int]) -> dict[str, Owners]:
+    owners: dict[str, list[int]] = {}
+    for position, slot in enumerate(slots):
+        of_server = owners.get(slot.server.name)
+        if of_server is None:
+            of_server = owners[slot.server.name] = [-1] * slot.server.slots
+        of_server[slot.index] = moved.get(position, slot.owner)
+    return {name: tuple(of_server) for name, of_server in owners.items()}
--- a/packages/daisylift/src/daisylift/decisions/configuration.py
+++ b/packages/daisylift/src/daisylift/decisions/configuration.py
@@ -1,9 +1,17 @@
 """The configuration as a fold over the accepted changes."""
 
-from dataclasses import dataclass, replace
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
 
 from daisylift.errors import PolicyError
-from daisylift.models import Change, ChangeBody, Policy, PutPolicy, SetServerDrain
+from daisylift.models import (
+    Change,
+    ChangeBody,
+    Policy,
+    PutPolicy,
+    SetOrdinalEpoch,
+    SetServerDrain,
+)
 
 EMPTY_POLICY = Policy(failure_domains=(), roster=(), services=())
 
@@ -18,11 +26,26 @@
 
 @dataclass(frozen=True, slots=True)
 class Configuration:
-    """What is in force at one version."""
+    """What is in force at one version.
+
+    ``epochs`` has every ordinal that was ever on the roster; an odd epoch says that
+    the ordinal is vacant.
+    """
 
     version: int = 0
     policy: Policy = EMPTY_POLICY
     draining: frozenset[ServerKey] = frozenset()
+    epochs: Mapping[int, int] = field(default_factory=dict)
+
+    @property
+    def vacant(self) -> frozenset[int]:
+        """Return the ordinals that own nothing, because no VM holds them."""
+        return frozenset(o for o, epoch in self.epochs.items() if epoch % 2 == 1)
+
+    @property
+    def occupied(self) -> frozenset[int]:
+        """Return the ordinals that a VM may hold, on the roster or removed from it."""
+        return frozenset(o for o, epoch in self.epochs.items() if epoch % 2 == 0)
 
 
 def apply_change(configuration: Configuration, change: Change) -> Configuration:
@@ -42,6 +65,8 @@
             return _with_policy(configuration, policy)
         case SetServerDrain():
             return _with_drain(configuration, body)
+        case SetOrdinalEpoch():
+            return _with_epoch(configuration, body)
 
 
 def server_keys(policy: Policy) -> frozenset[ServerKey]:
@@ -55,7 +80,8 @@
 
 def _with_policy(configuration: Configuration, policy: Policy) -> Configuration:
     draining = configuration.draining & server_keys(policy)
-    return replace(configuration, policy=policy, draining=draining)
+    epochs = {entry.ordinal: 0 for entry in policy.roster} | dict(configuration.epochs)
+    return replace(configuration, policy=policy, draining=draining, epochs=epochs)
 
 
 def _with_drain(configuration: Configuration, body: SetServerDrain) -> Configuration:
@@ -65,3 +91,10 @@
     if body.draining:
         return replace(configuration, draining=configuration.draining | {key})
     return replace(configuration, draining=configuration.draining - {key})
+
+
+def _with_epoch(configuration: Configuration, body: SetOrdinalEpoch) -> Configuration:
+    if body.epoch <= configuration.epochs.get(body.ordinal, -1):
+        return configuration
+    epochs = dict(configuration.epochs) | {body.ordinal: body.epoch}
+    return replace(configuration, epochs=epochs)
--- /dev/null
+++ b/packages/daisylift/src/daisylift/decisions/permit.py
@@ -0,0 +1,65 @@
+"""A permit for one request, and the slots that a node borrows from another."""
+
+import math
+from dataclasses import dataclass
+
+from daisylift.decisions.configuration import ServerKey
+
+DEFAULT_REQUEST_SECONDS = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseKey:
+    """Names a permit lease: who lent it, and the lender's number for it."""
+
+    lender: int
+    incarnation: str
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Permit:
+    """The right to run one request at a backend server, on one of its slots.
+
+    A request may start until ``valid_until``, and must have ended
+    ``longest_request_seconds`` after its start.
+    """
+
+    server: ServerKey
+    slot: int
+    valid_until: float = math.inf
+    longest_request_seconds: float = DEFAULT_REQUEST_SECONDS
+    lease: LeaseKey | None = None
+
+    def may_start(self, now: float) -> bool:
+        """Say whether a request may start now; ask just before the first byte."""
+        return now < self.valid_until
+
+
+@dataclass(slots=True)
+class BorrowedSlots:
+    """Slots of one server under a permit lease, as the borrower sees them."""
+
+    lease: LeaseKey
+    server: ServerKey
+    mask: int
+    valid_until: float
+    longest_request_seconds: float
+    used: int = 0
+
+    def free(self, now: float) -> int:
+        """Return the slot indexes on which a request may start now, as bits."""
+        if now >= self.valid_until:
+            return 0
+        return self.mask & ~self.used
+
+    def take(self, slot: int) -> Permit:
+        """Use a free slot and return the permit for it."""
+        self.used |= 1 << slot
+        return Permit(
+            server=self.server,
+            slot=slot,
+            valid_until=self.valid_until,
+            longest_request_seconds=self.longest_request_seconds,
+            lease=self.lease,
+        )
--- /dev/null
+++ b/packages/daisylift/src/daisylift/decisions/permits.py
@@ -0,0 +1,330 @@
+"""The permits of one node: which slots of which backend servers it may use now.
+
+All times are seconds of the node's own monotonic clock, passed in.
+"""
+
+import heapq
+import math
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+
+from daisylift.decisions.apportion import EMPTY_LAYOUT, Apportioner, Layout
+from daisylift.decisions.configuration import Configuration, ServerKey
+from daisylift.decisions.confirmations import Confirmations, Masks, losses_between
+from daisylift.decisions.permit import (
+    DEFAULT_REQUEST_SECONDS,
+    BorrowedSlots,
+    Permit,
+)
+
+DOUBT_GRACE_SECONDS = 1.0
+
+
+@dataclass(slots=True)
+class _Server:
+    """The node's own slots of one server, each field a set of slot indexes as bits."""
+
+    own: int = 0
+    blocked: int = 0
+    used: int = 0
+    lent: int = 0
+    cold_since: float = -math.inf
+
+    @property
+    def busy(self) -> int:
+        return self.used | self.lent
+
+
+@dataclass(frozen=True, slots=True)
+class _Draining:
+    """What this node lost by a version and has not seen idle since."""
+
+    version: int
+    masks: Masks
+
+
+@dataclass(order=True, slots=True)
+class _Doubt:
+    until: float
+    permit: Permit = field(compare=False)
+
+
+class PermitLedger:
+    """Decides which slots this node may use, and which version it has confirmed."""
+
+    def __init__(self) -> None:
+        self.ordinal: int | None = None
+        self.epoch = 0
+        self.configuration = Configuration()
+        self.confirmations = Confirmations()
+        self._apportioner = Apportioner()
+        self._layout: Layout = EMPTY_LAYOUT
+        self._by_server: dict[ServerKey, _Server] = {}
+        self._borrowed: dict[ServerKey, list[BorrowedSlots]] = {}
+        self._draining: list[_Draining] = []
+        self._doubts: list[_Doubt] = []
+        self._held_until: dict[str, float] = {}
+        self._request_seconds: dict[str, float] = {}
+        self._cold_seconds: dict[str, float] = {}
+
+    # What the fleet decides: configuration, ordinal, confirmations.
+
+    def set_configuration(self, configuration: Configuration, now: float) -> None:
+        """Take on a later configuration; lost slots are not used from here on."""
+        before = self.configuration
+        if configuration.version <= before.version:
+            return
+        layout = self._apportioner.apportion(configuration.policy, configuration.vacant)
+        if configuration.version == before.version + 1:
+            self._advance(configuration.version, layout)
+        else:
+            self._skip(before.version, configuration.version)
+        self._layout = layout
+        self.configuration = configuration
+        for ordinal in configuration.vacant - before.vacant:
+            self.confirmations.vacate(ordinal, configuration.version)
+        self._follow_services(before, now)
+        self._recompute()
+
+    def set_ordinal(
+        self, ordinal: int, epoch: int, held_until: Mapping[str, float] | None = None
+    ) -> None:
+        """Take on an ordinal whose claim is written and whose log was read since.
+
+        ``held_until`` gives, by service, how long a predecessor's requests may run.
+        """
+        self.ordinal = ordinal
+        self.epoch = epoch
+        self._held_until = dict(held_until or {})
+        self._recompute()
+
+    def drop_ordinal(self) -> None:
+        """Stop using own slots; what is in use or lent stays counted."""
+        self.ordinal = None
+        self._recompute()
+
+    def note_confirmed(self, ordinal: int, version: int) -> None:
+        """Take in another ordinal's confirmed version."""
+        if self.confirmations.note(ordinal, version):
+            self._recompute()
+
+    def confirmed_version(self, now: float) -> int | None:
+        """Return the version that this node's ordinal has confirmed, if any."""
+        if self.ordinal is None:
+            return None
+        if any(until > now for until in self._held_until.values()):
+            return None
+        if self._draining:
+            return min(draining.version for draining in self._draining) - 1
+        return self.configuration.version
+
+    def awaited(self) -> set[int]:
+        """Return the ordinals whose confirmation own slots still wait for."""
+        if self.ordinal is None:
+            return set()
+        unsettled = self.confirmations.unsettled(
+            self.ordinal, self.configuration.occupied
+        )
+        own = {key: state.own for key, state in self._by_server.items() if state.own}
+        return unsettled | self.confirmations.awaited(self.ordinal, own)
+
+    # What requests use.
+
+    def free_slots(self, server: ServerKey, now: float) -> int:
+        """Return on how many slots of the server a request could start now."""
+        self.expire(now)
+        count = self._free_own(server, now).bit_count()
+        for slots in self._borrowed.get(server, ()):
+            count += slots.free(now).bit_count()
+        return count
+
+    def take(self, server: ServerKey, now: float) -> Permit | None:
+        """Return a permit on an own or a borrowed slot, or None."""
+        self.expire(now)
+        free = self._free_own(server, now)
+        seconds = self.request_seconds(server.service)
+        if free:
+            slot = _lowest(free)
+            self._by_server[server].used |= 1 << slot
+            return Permit(server, slot, longest_request_seconds=seconds)
+        for slots in self._borrowed.get(server, ()):
+            free = slots.free(now)
+            if free:
+                return slots.take(_lowest(free))
+        return None
+
+    def release(
+        self, permit: Permit, now: float, doubtful_until: float | None = None
+    ) -> None:
+        """End the use of a permit, at once or when a doubtful request must be over."""
+        if doubtful_until is not None and doubtful_until > now:
+            heapq.heappush(self._doubts, _Doubt(doubtful_until, permit))
+            return
+        self._free(permit)
+
+    def expire(self, now: float) -> bool:
+        """Free the slots of doubtful requests that must be over; say if any."""
+        if not self._doubts or self._doubts[0].until > now:
+            return False
+        while self._doubts and self._doubts[0].until <= now:
+            self._free(heapq.heappop(self._doubts).permit)
+        return True
+
+    def mark_cold(self, server: ServerKey, now: float) -> None:
+        """Let the server's slots come into use one after another from now on."""
+        state = self._by_server.get(server)
+        if state is not None:
+            state.cold_since = now
+
+    # What lending uses.
+
+    def request_seconds(self, service: str) -> float:
+        """Return how long a request of the service may take, in doubt or not."""
+        seconds = self._request_seconds.get(service, DEFAULT_REQUEST_SECONDS)
+        return seconds + DOUBT_GRACE_SECONDS
+
+    def longest_request_seconds(self) -> float:
+        """Return the longest that a request of any service may take."""
+        seconds = max(self._request_seconds.values(), default=DEFAULT_REQUEST_SECONDS)
+        return seconds + DOUBT_GRACE_SECONDS
+
+    def idle_masks(self, service: str, now: float) -> Iterator[tuple[ServerKey, int]]:
+        """Yield the own slots of a service that are free, by server."""
+        for server in self._by_server:
+            if server.service == service:
+                free = self._free_own(server, now)
+                if free:
+                    yield server, free
+
+    def usage(self, service: str, now: float) -> tuple[int, int]:
+        """Return how many slots of the service are in use, and how many are held."""
+        used = held = 0
+        for server, state in self._by_server.items():
+            if server.service == service:
+                used += state.used.bit_count()
+                held += (self._free_own(server, now) | state.used).bit_count()
+        for slots in self.borrowed(service):
+            used += slots.used.bit_count()
+            held += (slots.free(now) | slots.used).bit_count()
+        return used, held
+
+    def lend(self, server: ServerKey, mask: int) -> None:
+        """Count own slots as lent."""
+        self._by_server.setdefault(server, _Server()).lent |= mask
+
+    def end_loan(self, server: ServerKey, mask: int) -> None:
+        """Count lent slots as free again."""
+        state = self._by_server[server]
+        state.lent &= ~mask
+        self._drained(server, mask)
+
+    def borrow(self, slots: BorrowedSlots) -> None:
+        """Add borrowed slots to what requests may use."""
+        self._borrowed.setdefault(slots.server, []).append(slots)
+
+    def give_back(self, slots: BorrowedSlots, mask: int) -> None:
+        """Take slots that are not in use out of what was borrowed."""
+        slots.mask &= ~(mask & ~slots.used)
+        if not slots.mask:
+            self._borrowed[slots.server].remove(slots)
+
+    def borrowed(self, service: str | None = None) -> Iterator[BorrowedSlots]:
+        """Yield the borrowed slots of a service, or of all."""
+        for server, held in self._borrowed.items():
+            if service is None or server.service == service:
+                yield from held
+
+    # Steps of the above.
+
+    def _advance(self, version: int, layout: Layout) -> None:
+        losses = losses_between(self._layout, layout)
+        self.confirmations.advance(version, losses)
+        self._drain(version, losses.get(self.ordinal, {}))
+
+    def _skip(self, known: int, version: int) -> None:
+        """Treat every slot as lost and perhaps held by others in between."""
+        if known == 0 and self.ordinal is None:
+            self.confirmations.skip(version)
+            return
+        self.confirmations.skip(version)
+        self._drain(known + 1, {server: -1 for server in self._by_server})
+
+    def _drain(self, version: int, masks: Masks) -> None:
+        busy = {
+            server: mask & self._by_server[server].busy
+            for server, mask in masks.items()
+            if server in self._by_server and mask & self._by_server[server].busy
+        }
+        if busy:
+            self._draining.append(_Draining(version, busy))
+
+    def _drained(self, server: ServerKey, mask: int) -> None:
+        for draining in self._draining:
+            left = draining.masks.get(server, 0) & ~mask
+            if left:
+                draining.masks[server] = left
+            else:
+                draining.masks.pop(server, None)
+        self._draining = [draining for draining in self._draining if draining.masks]
+
+    def _follow_services(self, before: Configuration, now: float) -> None:
+        for service in self.configuration.policy.services:
+            known = self._request_seconds.get(service.name, 0.0)
+            self._request_seconds[service.name] = max(known, service.timeout_seconds)
+            self._cold_seconds[service.name] = service.cold_start_seconds
+        for server in self._layout.owners_by_server:
+            if server in self._by_server:
+                continue
+            cold_since = now if before.version else -math.inf
+            self._by_server[server] = _Server(cold_since=cold_since)
+
+    def _recompute(self) -> None:
+        usable = self._may_use_own()
+        blocked = self.confirmations.blocked(self.ordinal) if usable else {}
+        for server, state in list(self._by_server.items()):
+            state.own = self._layout.mask(server, self.ordinal) if usable else 0
+            state.blocked = blocked.get(server, 0)
+            if server not in self._layout.owners_by_server and not state.busy:
+                del self._by_server[server]
+        if usable and self.confirmations.unsettled(
+            self.ordinal, self.configuration.occupied
+        ):
+            for state in self._by_server.values():
+                state.blocked = -1
+
+    def _may_use_own(self) -> bool:
+        if self.ordinal is None:
+            return False
+        return self.configuration.epochs.get(self.ordinal) == self.epoch
+
+    def _free_own(self, server: ServerKey, now: float) -> int:
+        state = self._by_server.get(server)
+        if state is None or now < self._held_until.get(server.service, -math.inf):
+            return 0
+        free = state.own & ~(state.blocked | state.used | state.lent)
+        if free and state.cold_since > -math.inf:
+            free &= self._warm_mask(server, state, now)
+        return free
+
+    def _warm_mask(self, server: ServerKey, state: _Server, now: float) -> int:
+        slots = len(self._layout.owners_by_server.get(server, ()))
+        seconds = self._cold_seconds.get(server.service, 0.0)
+        elapsed = now - state.cold_since
+        if elapsed >= seconds:
+            state.cold_since = -math.inf
+            return -1
+        return (1 << 1 + int((slots - 1) * elapsed / seconds)) - 1
+
+    def _free(self, permit: Permit) -> None:
+        if permit.lease is None:
+            self._by_server[permit.server].used &= ~(1 << permit.slot)
+            self._drained(permit.server, 1 << permit.slot)
+            return
+        for slots in self._borrowed.get(permit.server, ()):
+            if slots.lease == permit.lease and slots.used >> permit.slot & 1:
+                slots.used &= ~(1 << permit.slot)
+                return
+
+
+def _lowest(mask: int) -> int:
+    return (mask & -mask).bit_length() - 1
--- a/packages/daisylift/src/daisylift/models/__init__.py
+++ b/packages/daisylift/src/daisylift/models/__init__.py
@@ -1,6 +1,12 @@
 """Validated models of what crosses the border: policy, changes, stored objects."""
 
-from daisylift.models.change import Change, ChangeBody, PutPolicy, SetServerDrain
+from daisylift.models.change import (
+    Change,
+    ChangeBody,
+    PutPolicy,
+    SetOrdinalEpoch,
+    SetServerDrain,
+)
 from daisylift.models.policy import (
     BackendServer,
     FailureDomain,
@@ -22,5 +28,6 @@
     'PutPolicy',
     'RosterEntry',
     'Service',
+    'SetOrdinalEpoch',
     'SetServerDrain',
 ]
--- a/packages/daisylift/src/daisylift/models/change.py
+++ b/packages/daisylift/src/daisylift/models/change.py
@@ -27,7 +27,21 @@
     draining: bool
 
 
-ChangeBody = Annotated[PutPolicy | SetServerDrain, Field(discriminator='kind')]
+class SetOrdinalEpoch(StrictModel):
+    """Record that an ordinal fell vacant (odd epoch) or was taken again (even).
+
+    The claim of the ordinal carries the epoch too, and is written first; an epoch
+    that is not above the recorded one changes nothing.
+    """
+
+    kind: Literal['set_ordinal_epoch'] = 'set_ordinal_epoch'
+    ordinal: Annotated[int, Field(ge=0)]
+    epoch: Annotated[int, Field(ge=1)]
+
+
+ChangeBody = Annotated[
+    PutPolicy | SetServerDrain | SetOrdinalEpoch, Field(discriminator='kind')
+]
 
 
 class Change(StrictModel):
