--- a/packages/daisylift-node/src/daisylift_node/process/application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/application.py
@@ -23,6 +23,7 @@
 from daisylift_node.version.configuration import ConfigurationFollower
 
 MEMBERS_PERIOD_SECONDS = 1.0
+PERMITS_PERIOD_SECONDS = 0.1
 MAX_HEADER_BYTES = 16 * 1024
 
 
@@ -69,6 +70,7 @@
             await component.start()
         await self._refresh_members()
         self.timer.subscribe(MEMBERS_PERIOD_SECONDS, self._refresh_members)
+        self.timer.subscribe(PERMITS_PERIOD_SECONDS, self.permits.tick)
         await self._listen(self._caller_application(), self.settings.caller)
         await self._listen(self._operations_application(), self.settings.operations)
         await self._listen_for_operators()
