Answer a repeated change with its first outcome, and refuse with types

Cause: a repeated operation id was only recognised while its change was the newest; after another change came in between the operator got a conflict and could not tell whether the first call had taken effect.

Refusals carry a typed problem. Shifts, drains of sites and entry VMs, and evacuations are changes of the log with their own commands; nothing advances them yet.

Ruled out: an object per operation id in the store, which costs a second write for every change and needs its own trimming.

--- a/packages/daisylift-admin/src/daisylift_admin/cli/definition.py
+++ b/packages/daisylift-admin/src/daisylift_admin/cli/definition.py
@@ -15,6 +15,14 @@
   policy put FILE                    Replace the policy by the one in a JSON file.
   server drain SERVICE SERVER        Give a backend server no new work.
   server undrain SERVICE SERVER      Give it work again.
+  entry-vm drain|undrain ORDINAL     Keep an entry VM out of look-ups, or not.
+  domain drain|undrain DOMAIN        Shift all traffic away from a failure domain.
+  region drain|undrain REGION        Shift all traffic away from a region.
+  region evacuate REGION             The same for a lost region, under its own cap.
+  shift start SHIFT SERVICE FROM TO  Move --target_share of the traffic of sites
+                                     FROM (comma-separated) to sites TO, in stages.
+  shift abort|resume|reverse SHIFT   Stop it where it stands, go on, or take it back.
+  shift show                         Show the shifts and where they stand.
   status                             Show the members that the node knows.
 
 The shared key is read from the variable {KEY_VARIABLE}.
@@ -45,6 +53,14 @@
         'Names the change, so that it can be repeated safely; made up when not given.',
         flag_values=values,
     )
+    flags.DEFINE_float(
+        'target_share',
+        None,
+        'The share to move in all; everything when not given.',
+        lower_bound=0.0,
+        upper_bound=1.0,
+        flag_values=values,
+    )
     flags.DEFINE_bool(
         'json', False, 'Print JSON also on a terminal.', flag_values=values
     )
--- a/packages/daisylift-admin/src/daisylift_admin/client.py
+++ b/packages/daisylift-admin/src/daisylift_admin/client.py
@@ -54,6 +54,32 @@
         """Start or end the drain of a backend server."""
         return await self._call(self._stub.SetServerDrain, request)
 
+    async def set_entry_drain(self, request: pb.SetEntryDrainRequest) -> pb.ChangeReply:
+        """Start or end the drain of an entry VM."""
+        return await self._call(self._stub.SetEntryDrain, request)
+
+    async def set_site_drain(self, request: pb.SetSiteDrainRequest) -> pb.ChangeReply:
+        """Start or end the drain of a failure domain or a region."""
+        return await self._call(self._stub.SetSiteDrain, request)
+
+    async def start_shift(self, request: pb.StartShiftRequest) -> pb.ChangeReply:
+        """Start a traffic shift."""
+        return await self._call(self._stub.StartShift, request)
+
+    async def control_shift(self, request: pb.ControlShiftRequest) -> pb.ChangeReply:
+        """Abort, resume or reverse a shift."""
+        return await self._call(self._stub.ControlShift, request)
+
+    async def evacuate_region(
+        self, request: pb.EvacuateRegionRequest
+    ) -> pb.ChangeReply:
+        """Start to move all traffic out of a lost region."""
+        return await self._call(self._stub.EvacuateRegion, request)
+
+    async def get_shifts(self) -> pb.GetShiftsReply:
+        """Return the shifts and where they stand."""
+        return await self._call(self._stub.GetShifts, pb.GetShiftsRequest())
+
     async def get_policy(self) -> pb.GetPolicyReply:
         """Return the policy in force at the node."""
         return await self._call(self._stub.GetPolicy, pb.GetPolicyRequest())
--- a/packages/daisylift-admin/src/daisylift_admin/commands.py
+++ b/packages/daisylift-admin/src/daisylift_admin/commands.py
@@ -2,6 +2,7 @@
 
 import json
 import uuid
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -13,6 +14,12 @@
 from daisylift_admin.errors import AdminError
 from daisylift_admin.status import ExitStatus
 
+SHIFT_ACTIONS = {
+    'abort': pb.SHIFT_ACTION_ABORT,
+    'resume': pb.SHIFT_ACTION_RESUME,
+    'reverse': pb.SHIFT_ACTION_REVERSE,
+}
+
 
 @dataclass(frozen=True, slots=True)
 class ChangeOptions:
@@ -20,35 +27,153 @@
 
     base_version: int | None = None
     operation_id: str | None = None
+    target_share: float | None = None
 
 
 async def run_command(
     words: list[str], client: OperatorClient, options: ChangeOptions
 ) -> Message:
     """Run the command that the words name."""
+    handler = HANDLERS_BY_NOUN.get(words[0])
+    reply = await handler(words[1:], client, options) if handler else None
+    if reply is None:
+        raise AdminError(
+            f'unknown command {" ".join(words)!r}; see --help', ExitStatus.USAGE
+        )
+    return reply
+
+
+async def _policy(
+    words: list[str], client: OperatorClient, options: ChangeOptions
+) -> Message | None:
     match words:
-        case ['policy', 'show']:
+        case ['show']:
             return await client.get_policy()
-        case ['policy', 'put', file]:
+        case ['put', file]:
             return await _put_policy(Path(file), client, options)
-        case ['server', 'drain', service, server]:
+    return None
+
+
+async def _server(
+    words: list[str], client: OperatorClient, options: ChangeOptions
+) -> Message | None:
+    match words:
+        case ['drain', service, server]:
             return await _set_drain(client, options, service, server, draining=True)
-        case ['server', 'undrain', service, server]:
+        case ['undrain', service, server]:
             return await _set_drain(client, options, service, server, draining=False)
-        case ['status']:
-            return await client.get_status()
-    raise AdminError(
-        f'unknown command {" ".join(words)!r}; see --help', ExitStatus.USAGE
-    )
+    return None
+
+
+async def _entry_vm(
+    words: list[str], client: OperatorClient, options: ChangeOptions
+) -> Message | None:
+    match words:
+        case ['drain' | 'undrain' as verb, ordinal]:
+            return await _set_entry_drain(client, options, ordinal, verb)
+    return None
+
+
+async def _domain(
+    words: list[str], client: OperatorClient, options: ChangeOptions
+) -> Message | None:
+    match words:
+        case ['drain' | 'undrain' as verb, domain]:
+            request = pb.SetSiteDrainRequest(
+                failure_domain=domain, draining=verb == 'drain'
+            )
+            return await _submit(client, options, client.set_site_drain, request)
+    return None
+
+
+async def _region(
+    words: list[str], client: OperatorClient, options: ChangeOptions
+) -> Message | None:
+    match words:
+        case ['drain' | 'undrain' as verb, region]:
+            request = pb.SetSiteDrainRequest(region=region, draining=verb == 'drain')
+            return await _submit(client, options, client.set_site_drain, request)
+        case ['evacuate', region]:
+            request = pb.EvacuateRegionRequest(region=region)
+            return await _submit(client, options, client.evacuate_region, request)
+    return None
+
+
+async def _shift(
+    words: list[str], client: OperatorClient, options: ChangeOptions
+) -> Message | None:
+    match words:
+        case ['start', shift, service, sources, destinations]:
+            return await _start_shift(
+                client, options, shift, service, sources, destinations
+            )
+        case ['abort' | 'resume' | 'reverse' as verb, shift]:
+            request = pb.ControlShiftRequest(shift=shift, action=SHIFT_ACTIONS[verb])
+            return await _submit(client, options, client.control_shift, request)
+        case ['show']:
+            return await client.get_shifts()
+    return None
+
+
+async def _status(
+    words: list[str], client: OperatorClient, _: ChangeOptions
+) -> Message | None:
+    return None if words else await client.get_status()
+
+
+HANDLERS_BY_NOUN = {
+    'policy': _policy,
+    'server': _server,
+    'entry-vm': _entry_vm,
+    'domain': _domain,
+    'region': _region,
+    'shift': _shift,
+    'status': _status,
+}
+
+
+async def _submit(
+    client: OperatorClient,
+    options: ChangeOptions,
+    call: Callable[[Message], Awaitable[pb.ChangeReply]],
+    request: Message,
+) -> pb.ChangeReply:
+    request.header.CopyFrom(await _header(client, options))
+    return _accepted(await call(request))
 
 
 async def _put_policy(
     file: Path, client: OperatorClient, options: ChangeOptions
 ) -> pb.ChangeReply:
-    policy = _read_policy(file)
-    header = await _header(client, options)
-    request = pb.PutPolicyRequest(header=header, policy=policy)
-    return _accepted(await client.put_policy(request))
+    request = pb.PutPolicyRequest(policy=_read_policy(file))
+    return await _submit(client, options, client.put_policy, request)
+
+
+async def _set_entry_drain(
+    client: OperatorClient, options: ChangeOptions, ordinal: str, verb: str
+) -> pb.ChangeReply:
+    if not ordinal.isdecimal():
+        raise AdminError(f'{ordinal!r} is not an ordinal', ExitStatus.USAGE)
+    request = pb.SetEntryDrainRequest(ordinal=int(ordinal), draining=verb == 'drain')
+    return await _submit(client, options, client.set_entry_drain, request)
+
+
+async def _start_shift(
+    client: OperatorClient,
+    options: ChangeOptions,
+    shift: str,
+    service: str,
+    sources: str,
+    destinations: str,
+) -> pb.ChangeReply:
+    request = pb.StartShiftRequest(
+        shift=shift,
+        service=service,
+        sources=sources.split(','),
+        destinations=destinations.split(','),
+        target_share=options.target_share,
+    )
+    return await _submit(client, options, client.start_shift, request)
 
 
 async def _set_drain(
@@ -60,12 +185,9 @@
     draining: bool,
 ) -> pb.ChangeReply:
     request = pb.SetServerDrainRequest(
-        header=await _header(client, options),
-        service=service,
-        server=server,
-        draining=draining,
+        service=service, server=server, draining=draining
     )
-    return _accepted(await client.set_server_drain(request))
+    return await _submit(client, options, client.set_server_drain, request)
 
 
 def _read_policy(file: Path) -> pb.Policy:
--- a/packages/daisylift-admin/src/daisylift_admin/core.py
+++ b/packages/daisylift-admin/src/daisylift_admin/core.py
@@ -46,7 +46,9 @@
     if not key:
         raise AdminError(f'set {KEY_VARIABLE} to the shared key', ExitStatus.USAGE)
     options = ChangeOptions(
-        base_version=values.base_version, operation_id=values.operation_id
+        base_version=values.base_version,
+        operation_id=values.operation_id,
+        target_share=values.target_share,
     )
     async with OperatorClient(values.node, key) as client:
         reply = await run_command(words, client, options)
--- a/packages/daisylift-admin/src/daisylift_admin/output/formatters.py
+++ b/packages/daisylift-admin/src/daisylift_admin/output/formatters.py
@@ -35,6 +35,8 @@
                 return f'accepted as version {reply.accepted.version}\n'
             case pb.GetStatusReply():
                 return _status(reply)
+            case pb.GetShiftsReply():
+                return _shifts(reply)
         return JsonFormatter().format(reply)
 
 
@@ -46,3 +48,15 @@
         for member in reply.members
     )
     return '\n'.join(lines) + '\n'
+
+
+def _shifts(reply: pb.GetShiftsReply) -> str:
+    lines = [f'{len(reply.shifts)} shifts at version {reply.version}']
+    lines.extend(
+        f'{shift.shift:<24} {shift.service:<12} {shift.state:<9} '
+        f'stage {shift.stage:>3}, {shift.moved_share:.2%} of {shift.target_share:.2%}'
+        f' moved, {",".join(shift.sources)} to {",".join(shift.destinations)}'
+        f'{" (held: " + shift.held_because + ")" if shift.held_because else ""}'
+        for shift in reply.shifts
+    )
+    return '\n'.join(lines) + '\n'
--- a/packages/daisylift-node/src/daisylift_node/process/application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/application.py
@@ -20,6 +20,7 @@
 from daisylift_node.process.timer import TimerService
 from daisylift_node.request.lookup import LookupHandler
 from daisylift_node.request.relay import RelayHandler
+from daisylift_node.version.change_writer import ChangeWriter
 from daisylift_node.version.configuration import ConfigurationFollower
 
 INCARNATION_BYTES = 8
@@ -48,6 +49,7 @@
         self.platform = PlatformClient(settings.platform, self.metrics)
         self.connections = UpstreamConnections()
         self.follower = ConfigurationFollower(self.platform, self.metrics)
+        self.writer = ChangeWriter(self.follower, self.metrics)
         self.members = Members(settings, self.incarnation, self.platform)
         self.permits = PermitPool()
         self._runners: list[web.AppRunner] = []
@@ -150,6 +152,7 @@
             key=address.key.get_secret_value(),
             follower=self.follower,
             members=self.members,
+            writer=self.writer,
         )
         self._operator_server = Server([service])
         try:
--- a/packages/daisylift-node/src/daisylift_node/process/metrics.py
+++ b/packages/daisylift-node/src/daisylift_node/process/metrics.py
@@ -53,6 +53,24 @@
             ['call', 'result'],
             registry=self.registry,
         )
+        self.changes = Counter(
+            'daisylift_changes',
+            'Changes of the configuration asked of this node, by kind and outcome.',
+            ['kind', 'outcome'],
+            registry=self.registry,
+        )
+        self.shift_holds = Counter(
+            'daisylift_shift_holds',
+            'Decisions to hold a shift, by reason.',
+            ['reason'],
+            registry=self.registry,
+        )
+        self.peer_pulls = Counter(
+            'daisylift_peer_pulls',
+            'Fetches of the configuration from peers, by result.',
+            ['result'],
+            registry=self.registry,
+        )
         self.request_seconds = Histogram(
             'daisylift_request_seconds',
             'Time from the request to the end of its answer.',
--- a/packages/daisylift-node/src/daisylift_node/process/operator.py
+++ b/packages/daisylift-node/src/daisylift_node/process/operator.py
@@ -1,25 +1,45 @@
 """The operators' calls, as the schema file defines them."""
 
 import hmac
+from collections.abc import Callable
 
 from google.protobuf.json_format import MessageToDict, ParseDict
+from google.protobuf.message import Message
 from grpclib import GRPCError, Status
 from grpclib.server import Stream
 from pydantic import ValidationError
-from returns.result import Failure, Success
 
-from daisylift.decisions.configuration import apply_body
-from daisylift.errors import PolicyError
-from daisylift.models import Change, ChangeBody, Policy, PutPolicy, SetServerDrain
+from daisylift.models import (
+    Change,
+    ChangeBody,
+    ControlShift,
+    EvacuateRegion,
+    Policy,
+    PutPolicy,
+    SetEntryDrain,
+    SetServerDrain,
+    SetSiteDrain,
+    StartShift,
+)
 from daisylift.schema import operator_pb2 as pb
 from daisylift.schema.operator_grpc import OperatorBase
 from daisylift_node.process.members import Members
-from daisylift_node.process.platform import Conflict, Uncertain
-from daisylift_node.version.change_log import parse_change
+from daisylift_node.process.replies import (
+    change_reply,
+    malformed_reply,
+    shift_status,
+)
+from daisylift_node.version.change_writer import ChangeWriter
 from daisylift_node.version.configuration import ConfigurationFollower
 
 KEY_METADATA = 'daisylift-key'
 
+ACTION_NAMES = {
+    pb.SHIFT_ACTION_ABORT: 'abort',
+    pb.SHIFT_ACTION_RESUME: 'resume',
+    pb.SHIFT_ACTION_REVERSE: 'reverse',
+}
+
 
 def require_key(metadata: object, key: str) -> None:
     """Raise UNAUTHENTICATED unless the metadata carries the shared key."""
@@ -32,41 +52,82 @@
     """Serves operators; each change goes through the platform's change log."""
 
     def __init__(
-        self, vm: str, key: str, follower: ConfigurationFollower, members: Members
+        self,
+        vm: str,
+        key: str,
+        follower: ConfigurationFollower,
+        members: Members,
+        writer: ChangeWriter,
     ) -> None:
         self._vm = vm
         self._key = key
         self._follower = follower
         self._members = members
+        self._writer = writer
 
     async def PutPolicy(self, stream: Stream) -> None:  # noqa: N802
         """Replace the policy."""
-        request = await self._receive(stream)
-        document = MessageToDict(
-            request.policy,
-            preserving_proto_field_name=True,
-            always_print_fields_with_no_presence=False,
-        )
-        _add_required_lists(document)
-        await stream.send_message(
-            await self._change(
-                request.header,
-                lambda: PutPolicy(policy=Policy.model_validate(document)),
-            )
-        )
+        await self._change(stream, _put_policy)
 
     async def SetServerDrain(self, stream: Stream) -> None:  # noqa: N802
         """Start or end the drain of a backend server."""
-        request = await self._receive(stream)
+        await self._change(
+            stream,
+            lambda request: SetServerDrain(
+                service=request.service,
+                server=request.server,
+                draining=request.draining,
+            ),
+        )
+
+    async def SetEntryDrain(self, stream: Stream) -> None:  # noqa: N802
+        """Start or end the drain of an entry VM."""
+        await self._change(
+            stream,
+            lambda request: SetEntryDrain(
+                ordinal=request.ordinal, draining=request.draining
+            ),
+        )
+
+    async def SetSiteDrain(self, stream: Stream) -> None:  # noqa: N802
+        """Start or end the drain of a failure domain or a region."""
+        await self._change(
+            stream,
+            lambda request: SetSiteDrain(
+                sites=self._sites_of(request), draining=request.draining
+            ),
+        )
+
+    async def StartShift(self, stream: Stream) -> None:  # noqa: N802
+        """Start to move a share of a service's traffic."""
+        await self._change(stream, _start_shift)
+
+    async def ControlShift(self, stream: Stream) -> None:  # noqa: N802
+        """Abort, resume or reverse a shift."""
+        await self._change(
+            stream,
+            lambda request: ControlShift(
+                shift=request.shift, action=ACTION_NAMES.get(request.action, '')
+            ),
+        )
+
+    async def EvacuateRegion(self, stream: Stream) -> None:  # noqa: N802
+        """Start to move all traffic out of a lost region."""
+        await self._change(
+            stream, lambda request: EvacuateRegion(region=request.region)
+        )
+
+    async def LoadBlocks(self, stream: Stream) -> None:  # noqa: N802
+        """Load client blocks."""
+        raise GRPCError(Status.UNIMPLEMENTED, 'blocks can not be loaded yet')
+
+    async def GetShifts(self, stream: Stream) -> None:  # noqa: N802
+        """Return the shifts and why those that wait do so."""
+        await self._receive(stream)
+        current = self._follower.current
+        shifts = [shift_status(shift, '') for shift in current.shifts.values()]
         await stream.send_message(
-            await self._change(
-                request.header,
-                lambda: SetServerDrain(
-                    service=request.service,
-                    server=request.server,
-                    draining=request.draining,
-                ),
-            )
+            pb.GetShiftsReply(version=current.version, shifts=shifts)
         )
 
     async def GetPolicy(self, stream: Stream) -> None:  # noqa: N802
@@ -97,7 +158,7 @@
             )
         )
 
-    async def _receive(self, stream: Stream) -> object:
+    async def _receive(self, stream: Stream) -> Message:
         require_key(stream.metadata, self._key)
         request = await stream.recv_message()
         if request is None:
@@ -105,42 +166,42 @@
         return request
 
     async def _change(
-        self, header: pb.ChangeHeader, make_body: object
-    ) -> pb.ChangeReply:
+        self, stream: Stream, make_body: Callable[[Message], ChangeBody]
+    ) -> None:
+        request = await self._receive(stream)
         try:
-            body: ChangeBody = make_body()
-            change = Change(
-                version=header.base_version + 1,
-                operation_id=header.operation_id,
-                operator=header.operator,
-                body=body,
-            )
+            change = _change_of(request.header, make_body(request))
         except ValidationError as error:
-            return _invalid(_violations(error))
-        await self._follower.catch_up()
-        if header.base_version > self._follower.current.version:
-            return _conflict(self._follower.current.version)
-        if header.base_version == self._follower.current.version:
-            try:
-                apply_body(self._follower.current, body)
-            except PolicyError as error:
-                return _invalid([str(error)])
-        return await self._append(change)
-
-    async def _append(self, change: Change) -> pb.ChangeReply:
-        result = await self._follower.log.append(change)
-        match result:
-            case Success():
-                self._follower.apply([change])
-                return pb.ChangeReply(accepted=pb.Accepted(version=change.version))
-            case Failure(Conflict(current=current)):
-                await self._follower.catch_up()
-                found = parse_change(current) if current else None
-                known = found.version if found else 0
-                return _conflict(max(known, self._follower.current.version))
-            case Failure(Uncertain(reason=reason)):
-                return _unavailable(reason, may_have_happened=True)
-        return _unavailable(str(result.failure()), may_have_happened=False)
+            await stream.send_message(malformed_reply(error))
+            return
+        outcome = await self._writer.submit(change)
+        await stream.send_message(change_reply(outcome))
+
+    def _sites_of(self, request: pb.SetSiteDrainRequest) -> tuple[str, ...]:
+        if request.WhichOneof('scope') != 'region':
+            return (request.failure_domain,)
+        region_by_site = self._follower.current.index.region_by_site
+        sites = tuple(s for s, r in region_by_site.items() if r == request.region)
+        return sites or (request.region,)
+
+
+def _change_of(header: pb.ChangeHeader, body: ChangeBody) -> Change:
+    return Change(
+        version=header.base_version + 1,
+        operation_id=header.operation_id,
+        operator=header.operator,
+        body=body,
+    )
+
+
+def _put_policy(request: pb.PutPolicyRequest) -> PutPolicy:
+    document = MessageToDict(
+        request.policy,
+        preserving_proto_field_name=True,
+        always_print_fields_with_no_presence=False,
+    )
+    _add_required_lists(document)
+    return PutPolicy(policy=Policy.model_validate(document))
 
 
 def _add_required_lists(document: dict) -> None:
@@ -152,24 +213,12 @@
         entry.setdefault('ordinal', 0)
 
 
-def _violations(error: ValidationError) -> list[str]:
-    return [
-        f'{".".join(str(part) for part in violation["loc"])}: {violation["msg"]}'
-        for violation in error.errors(include_input=False)
-    ]
-
-
-def _invalid(violations: list[str]) -> pb.ChangeReply:
-    return pb.ChangeReply(invalid=pb.InvalidChange(violations=violations))
-
-
-def _conflict(version: int) -> pb.ChangeReply:
-    return pb.ChangeReply(conflict=pb.VersionConflict(current_version=version))
-
-
-def _unavailable(reason: str, *, may_have_happened: bool) -> pb.ChangeReply:
-    return pb.ChangeReply(
-        unavailable=pb.PlatformUnavailable(
-            reason=reason, may_have_happened=may_have_happened
-        )
+def _start_shift(request: pb.StartShiftRequest) -> StartShift:
+    target = request.target_share if request.HasField('target_share') else 1.0
+    return StartShift(
+        shift=request.shift,
+        service=request.service,
+        sources=tuple(request.sources),
+        destinations=tuple(request.destinations),
+        target=target,
     )
--- /dev/null
+++ b/packages/daisylift-node/src/daisylift_node/version/change_writer.py
@@ -0,0 +1,109 @@
+"""Puts changes into force: checks them, writes them once, and says what came of it."""
+
+from dataclasses import dataclass
+
+from loguru import logger
+from returns.result import Failure, Success
+
+from daisylift.decisions.configuration import (
+    ChangeProblem,
+    ChangeRefusedError,
+    apply_body,
+)
+from daisylift.models import Change, fingerprint
+from daisylift_node.process.metrics import Metrics
+from daisylift_node.process.platform import Conflict, Uncertain
+from daisylift_node.version.configuration import ConfigurationFollower
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The change is in the log under the version, now or from an earlier call."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Conflicted:
+    """Another change came first; nothing was changed."""
+
+    current_version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The change does not fit the configuration; nothing was changed."""
+
+    problem: ChangeProblem
+    violations: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class NotConfirmed:
+    """The platform did not confirm the change; it may have happened or not."""
+
+    reason: str
+    may_have_happened: bool
+
+
+ChangeOutcome = Accepted | Conflicted | Refused | NotConfirmed
+
+
+class ChangeWriter:
+    """Writes changes to the log for operators and for the node itself."""
+
+    def __init__(self, follower: ConfigurationFollower, metrics: Metrics) -> None:
+        self._follower = follower
+        self._metrics = metrics
+
+    async def submit(self, change: Change) -> ChangeOutcome:
+        """Put the change into force under its version, or say why not."""
+        outcome = await self._submit(change)
+        label = type(outcome).__name__.lower()
+        self._metrics.changes.labels(kind=change.body.kind, outcome=label).inc()
+        if not isinstance(outcome, Accepted):
+            logger.info('change {} got {}', change.operation_id, outcome)
+        return outcome
+
+    async def _submit(self, change: Change) -> ChangeOutcome:
+        if (known := self._known_outcome(change)) is not None:
+            return known
+        if not await self._follower.catch_up():
+            return NotConfirmed('the change log can not be read', False)
+        if (known := self._known_outcome(change)) is not None:
+            return known
+        current = self._follower.current
+        if change.version != current.version + 1:
+            return Conflicted(current.version)
+        try:
+            apply_body(current, change.body)
+        except ChangeRefusedError as error:
+            return Refused(error.problem, (str(error),))
+        return await self._append(change)
+
+    def _known_outcome(self, change: Change) -> ChangeOutcome | None:
+        """Return the first outcome of the operation when it was accepted before."""
+        known = self._follower.current.operations.find(change.operation_id)
+        if known is None:
+            return None
+        if known.fingerprint == fingerprint(change.body):
+            return Accepted(known.version)
+        return Refused(
+            ChangeProblem.OPERATION_REUSED,
+            (f'operation {change.operation_id!r} asked for something else before',),
+        )
+
+    async def _append(self, change: Change) -> ChangeOutcome:
+        result = await self._follower.log.append(change)
+        match result:
+            case Success():
+                self._follower.apply([change])
+                return Accepted(change.version)
+            case Failure(Conflict()):
+                await self._follower.catch_up()
+                known = self._known_outcome(change)
+                current = max(self._follower.current.version, change.version)
+                return known or Conflicted(current)
+            case Failure(Uncertain(reason=reason)):
+                return NotConfirmed(reason, True)
+        return NotConfirmed(str(result.failure()), False)
--- a/packages/daisylift/src/daisylift/decisions/configuration.py
+++ b/packages/daisylift/src/daisylift/decisions/configuration.py
@@ -1,28 +1,50 @@
-"""The configuration as a fold over the accepted changes."""
-
-from dataclasses import dataclass, replace
-
+"""The configuration as a fold over the accepted changes.
+
+A change touches only its part: the policy is validated as a whole once, when it is
+put, and everything that can be worked out from it alone is kept in its index.
+"""
+
+from dataclasses import replace
+
+from daisylift.decisions.policies import with_policy
+from daisylift.decisions.state import (
+    EMPTY_POLICY,
+    BlockPages,
+    ChangeProblem,
+    ChangeRefusedError,
+    Configuration,
+    Operation,
+    Operations,
+    PolicyIndex,
+    ServerKey,
+    with_effective_drains,
+)
+from daisylift.decisions.steps import with_shift_change
 from daisylift.errors import PolicyError
-from daisylift.models import Change, ChangeBody, Policy, PutPolicy, SetServerDrain
-
-EMPTY_POLICY = Policy(failure_domains=(), roster=(), services=())
-
-
-@dataclass(frozen=True, slots=True)
-class ServerKey:
-    """Names one backend server: the service it does the work of, and its name."""
-
-    service: str
-    server: str
-
-
-@dataclass(frozen=True, slots=True)
-class Configuration:
-    """What is in force at one version."""
-
-    version: int = 0
-    policy: Policy = EMPTY_POLICY
-    draining: frozenset[ServerKey] = frozenset()
+from daisylift.models import (
+    Change,
+    ChangeBody,
+    PutPolicy,
+    SetBlockPages,
+    SetEntryDrain,
+    SetServerDrain,
+    fingerprint,
+)
+
+__all__ = [
+    'EMPTY_POLICY',
+    'BlockPages',
+    'ChangeProblem',
+    'ChangeRefusedError',
+    'Configuration',
+    'Operation',
+    'Operations',
+    'PolicyIndex',
+    'ServerKey',
+    'apply_body',
+    'apply_change',
+    'server_keys',
+]
 
 
 def apply_change(configuration: Configuration, change: Change) -> Configuration:
@@ -32,36 +54,79 @@
             f'change {change.version} does not follow version {configuration.version}'
         )
     after = apply_body(configuration, change.body)
-    return replace(after, version=change.version)
+    operation = Operation(version=change.version, fingerprint=fingerprint(change.body))
+    return replace(
+        after,
+        version=change.version,
+        operations=after.operations.with_operation(change.operation_id, operation),
+    )
 
 
 def apply_body(configuration: Configuration, body: ChangeBody) -> Configuration:
-    """Return the configuration with the body applied, at an unchanged version."""
+    """Return the configuration with the body applied, at an unchanged version.
+
+    Raise ChangeRefusedError when the body does not fit the configuration.
+    """
     match body:
         case PutPolicy(policy=policy):
-            return _with_policy(configuration, policy)
+            return with_policy(configuration, policy)
         case SetServerDrain():
-            return _with_drain(configuration, body)
+            return _with_server_drain(configuration, body)
+        case SetEntryDrain():
+            return _with_entry_drain(configuration, body)
+        case SetBlockPages():
+            return _with_block_pages(configuration, body)
+    return with_shift_change(configuration, body)
 
 
-def server_keys(policy: Policy) -> frozenset[ServerKey]:
+def server_keys(configuration: Configuration) -> frozenset[ServerKey]:
     """Return the keys of all backend servers of the policy."""
-    return frozenset(
-        ServerKey(service=service.name, server=server.name)
-        for service in policy.services
-        for server in service.servers
-    )
+    return frozenset(configuration.index.domain_by_server)
 
 
-def _with_policy(configuration: Configuration, policy: Policy) -> Configuration:
-    draining = configuration.draining & server_keys(policy)
-    return replace(configuration, policy=policy, draining=draining)
+def _with_server_drain(
+    configuration: Configuration, body: SetServerDrain
+) -> Configuration:
+    key = ServerKey(service=body.service, server=body.server)
+    if key not in configuration.index.domain_by_server:
+        raise ChangeRefusedError(
+            ChangeProblem.UNKNOWN_NAME,
+            f'service {body.service!r} has no server {body.server!r}',
+        )
+    drains = configuration.server_drains
+    drains = drains | {key} if body.draining else drains - {key}
+    return with_effective_drains(replace(configuration, server_drains=drains))
 
 
-def _with_drain(configuration: Configuration, body: SetServerDrain) -> Configuration:
-    key = ServerKey(service=body.service, server=body.server)
-    if key not in server_keys(configuration.policy):
-        raise PolicyError(f'service {body.service!r} has no server {body.server!r}')
-    if body.draining:
-        return replace(configuration, draining=configuration.draining | {key})
-    return replace(configuration, draining=configuration.draining - {key})
+def _with_entry_drain(
+    configuration: Configuration, body: SetEntryDrain
+) -> Configuration:
+    if body.ordinal not in configuration.index.ordinals:
+        raise ChangeRefusedError(
+            ChangeProblem.UNKNOWN_NAME, f'the roster has no ordinal {body.ordinal}'
+        )
+    drains = configuration.entry_drains
+    drains = drains | {body.ordinal} if body.draining else drains - {body.ordinal}
+    return replace(configuration, entry_drains=drains)
+
+
+def _with_block_pages(
+    configuration: Configuration, body: SetBlockPages
+) -> Configuration:
+    known = configuration.blocks.sites
+    if body.sites[: len(known)] != known:
+        raise ChangeRefusedError(
+            ChangeProblem.WRONG_STATE, 'sites of block pages may only be appended'
+        )
+    for site in body.sites[len(known) :]:
+        if site not in configuration.index.region_by_site:
+            raise ChangeRefusedError(
+                ChangeProblem.UNKNOWN_NAME, f'site {site!r} is not defined'
+            )
+    pages = dict(configuration.blocks.digest_by_start)
+    for start, digest in body.pages.items():
+        if digest is None:
+            pages.pop(start, None)
+            continue
+        pages[start] = digest
+    return replace(configuration, blocks=BlockPages(body.sites, pages))
--- /dev/null
+++ b/packages/daisylift/src/daisylift/decisions/steering.py
@@ -0,0 +1,209 @@
+"""Cuts of the interval [0, 1): which site serves which share of a home site's blocks.
+
+Each block and service hash to a fixed point, a whole number from 0 to ``POINTS``.
+A cut divides all points among sites. Moving an amount from one site to another
+moves exactly that many points and leaves all others where they are, so every node
+gives the same answer and caches stay warm.
+"""
+
+from bisect import bisect_right
+from collections.abc import Collection, Iterator, Mapping, Sequence
+from dataclasses import dataclass
+
+import xxhash
+
+POINTS = 1 << 32
+HALF_BITS = 32
+
+
+@dataclass(frozen=True, slots=True)
+class Move:
+    """Says which shift moved a segment, and from which site."""
+
+    shift: str
+    source: str
+
+
+@dataclass(frozen=True, slots=True)
+class Owner:
+    """The site of a segment and the moves that brought it there, latest last."""
+
+    site: str
+    moves: tuple[Move, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Cut:
+    """Segments of the interval: segment ``i`` ends before ``ends[i]``."""
+
+    ends: tuple[int, ...]
+    owners: tuple[Owner, ...]
+
+    def segments(self) -> Iterator[tuple[int, int, Owner]]:
+        """Yield start, end and owner of each segment."""
+        start = 0
+        for end, owner in zip(self.ends, self.owners, strict=True):
+            yield start, end, owner
+            start = end
+
+
+@dataclass(frozen=True, slots=True)
+class Position:
+    """Where a block stands for a service: its point, and a second, independent one."""
+
+    point: int
+    rotation: int
+
+
+def whole(site: str) -> Cut:
+    """Return the cut that gives everything to one site."""
+    return Cut(ends=(POINTS,), owners=(Owner(site),))
+
+
+def position_of(service: str, block: bytes) -> Position:
+    """Return the fixed position of a block (its packed first address)."""
+    digest = xxhash.xxh3_64_intdigest(block + service.encode())
+    return Position(point=digest >> HALF_BITS, rotation=digest & (POINTS - 1))
+
+
+def site_at(cut: Cut, point: int) -> str:
+    """Return the site that serves the point."""
+    return cut.owners[bisect_right(cut.ends, point)].site
+
+
+def points_at(cut: Cut, sites: Collection[str]) -> int:
+    """Return how many points the sites serve together."""
+    return sum(end - start for start, end, o in cut.segments() if o.site in sites)
+
+
+def move_points(
+    cut: Cut,
+    shift: str,
+    sources: Collection[str],
+    weights: Mapping[str, int],
+    amount: int,
+) -> Cut:
+    """Move the lowest ``amount`` points of the sources to sites, by their weights.
+
+    Fewer are moved when the sources serve fewer.
+    """
+    amount = min(amount, points_at(cut, sources))
+    if amount <= 0:
+        return cut
+    limits = _limits(weights, amount)
+    pieces: list[tuple[int, Owner]] = []
+    moved = 0
+    for start, end, owner in cut.segments():
+        if owner.site not in sources or moved == amount:
+            pieces.append((end, owner))
+            continue
+        taken = min(end - start, amount - moved)
+        for limit, site in limits:
+            if moved < limit and taken > 0:
+                part = min(taken, limit - moved)
+                start += part
+                moved += part
+                taken -= part
+                moves = (*owner.moves, Move(shift, owner.site))
+                pieces.append((start, Owner(site, moves)))
+        if start < end:
+            pieces.append((end, owner))
+    return _joined(pieces)
+
+
+def return_points(cut: Cut, shift: str, amount: int) -> Cut:
+    """Take back the highest ``amount`` points that the shift was last to move."""
+    pieces: list[tuple[int, Owner]] = []
+    left = amount
+    for start, end, owner in reversed(list(cut.segments())):
+        if left <= 0 or not owner.moves or owner.moves[-1].shift != shift:
+            pieces.append((end, owner))
+            continue
+        taken = min(end - start, left)
+        left -= taken
+        pieces.append((end, Owner(owner.moves[-1].source, owner.moves[:-1])))
+        if taken < end - start:
+            pieces.append((end - taken, owner))
+    return _joined(pieces[::-1])
+
+
+def forget_moves(cut: Cut, shifts: Collection[str]) -> Cut:
+    """Drop the record of moves by shifts that are no longer kept; no point moves."""
+    if not any(m.shift in shifts for owner in cut.owners for m in owner.moves):
+        return cut
+    return _joined(
+        (
+            end,
+            Owner(owner.site, tuple(m for m in owner.moves if m.shift not in shifts)),
+        )
+        for _, end, owner in cut.segments()
+    )
+
+
+def differing_points(one: Cut, other: Cut) -> int:
+    """Return how many points the two cuts give to different sites."""
+    return sum(end - start for start, end, a, b in _overlay(one, other) if a != b)
+
+
+def step_towards(current: Cut, target: Cut, budget: int) -> Cut:
+    """Return the current cut with at most ``budget`` points brought to the target."""
+    if differing_points(current, target) <= budget:
+        return target
+    pieces: list[tuple[int, Owner]] = []
+    for start, end, here, there in _overlay(current, target):
+        if here == there or budget <= 0:
+            pieces.append((end, Owner(here)))
+            continue
+        taken = min(end - start, budget)
+        budget -= taken
+        pieces.append((start + taken, Owner(there)))
+        if start + taken < end:
+            pieces.append((end, Owner(here)))
+    return _joined(pieces)
+
+
+def nearest_site(
+    home: str, sites: Sequence[str], region_by_site: Mapping[str, str]
+) -> str:
+    """Return the site nearest to the home; equally near ones are spread by hash."""
+    region = region_by_site.get(home)
+    return min(
+        sites,
+        key=lambda site: (
+            site != home,
+            region_by_site.get(site) != region,
+            xxhash.xxh3_64_intdigest(f'{home}/{site}'.encode()),
+        ),
+    )
+
+
+def _limits(weights: Mapping[str, int], amount: int) -> list[tuple[int, str]]:
+    total = sum(weights.values())
+    limits = []
+    sum_so_far = 0
+    for site, weight in sorted(weights.items()):
+        sum_so_far += weight
+        limits.append((amount * sum_so_far // total, site))
+    return limits
+
+
+def _overlay(one: Cut, other: Cut) -> Iterator[tuple[int, int, str, str]]:
+    start = i = j = 0
+    while start < POINTS:
+        end = min(one.ends[i], other.ends[j])
+        yield start, end, one.owners[i].site, other.owners[j].site
+        i += one.ends[i] == end
+        j += other.ends[j] == end
+        start = end
+
+
+def _joined(pieces: Iterator[tuple[int, Owner]] | Sequence[tuple[int, Owner]]) -> Cut:
+    ends: list[int] = []
+    owners: list[Owner] = []
+    for end, owner in pieces:
+        if owners and owners[-1] == owner:
+            ends[-1] = end
+            continue
+        ends.append(end)
+        owners.append(owner)
+    return Cut(ends=tuple(ends), owners=tuple(owners))
--- a/packages/daisylift/src/daisylift/models/__init__.py
+++ b/packages/daisylift/src/daisylift/models/__init__.py
@@ -1,6 +1,19 @@
 """Validated models of what crosses the border: policy, changes, stored objects."""
 
-from daisylift.models.change import Change, ChangeBody, PutPolicy, SetServerDrain
+from daisylift.models.change import (
+    AdvanceShift,
+    Change,
+    ChangeBody,
+    ControlShift,
+    EvacuateRegion,
+    PutPolicy,
+    SetBlockPages,
+    SetEntryDrain,
+    SetServerDrain,
+    SetSiteDrain,
+    StartShift,
+    fingerprint,
+)
 from daisylift.models.policy import (
     BackendServer,
     FailureDomain,
@@ -12,15 +25,23 @@
 from daisylift.models.roster import Claim
 
 __all__ = [
+    'AdvanceShift',
     'BackendServer',
     'Change',
     'ChangeBody',
     'Claim',
+    'ControlShift',
+    'EvacuateRegion',
     'FailureDomain',
     'Link',
     'Policy',
     'PutPolicy',
     'RosterEntry',
     'Service',
+    'SetBlockPages',
+    'SetEntryDrain',
     'SetServerDrain',
+    'SetSiteDrain',
+    'StartShift',
+    'fingerprint',
 ]
--- a/packages/daisylift/src/daisylift/models/change.py
+++ b/packages/daisylift/src/daisylift/models/change.py
@@ -1,14 +1,21 @@
 """Changes of the configuration, as kept in the platform's change log."""
 
-from typing import Annotated, Literal
+from typing import Annotated, Literal, Self
 
-from pydantic import Field
+import xxhash
+from pydantic import Field, model_validator
 
-from daisylift.models.policy import Name, Policy, StrictModel
+from daisylift.models.policy import Name, Policy, Share, StrictModel
 
 MAX_OPERATION_ID_LENGTH = 128
+MAX_SITES_IN_SHIFT = 256
+MAX_PAGES_IN_CHANGE = 4096
+DIGEST_PATTERN = r'^[0-9a-f]{32}$'
 
 OperationId = Annotated[str, Field(min_length=1, max_length=MAX_OPERATION_ID_LENGTH)]
+Digest = Annotated[str, Field(pattern=DIGEST_PATTERN)]
+Sites = Annotated[tuple[Name, ...], Field(min_length=1, max_length=MAX_SITES_IN_SHIFT)]
+ShiftAction = Literal['abort', 'resume', 'reverse']
 
 
 class PutPolicy(StrictModel):
@@ -27,7 +34,93 @@
     draining: bool
 
 
-ChangeBody = Annotated[PutPolicy | SetServerDrain, Field(discriminator='kind')]
+class SetEntryDrain(StrictModel):
+    """Start or end the drain of the entry VM that holds an ordinal."""
+
+    kind: Literal['set_entry_drain'] = 'set_entry_drain'
+    ordinal: Annotated[int, Field(ge=0)]
+    draining: bool
+
+
+class SetSiteDrain(StrictModel):
+    """Start or end the drain of sites: a failure domain, or those of a region.
+
+    Their traffic moves away by one shift for each service, under its cap; the
+    servers and entry VMs there are drained once nothing is steered to them.
+    """
+
+    kind: Literal['set_site_drain'] = 'set_site_drain'
+    sites: Sites
+    draining: bool
+
+
+class StartShift(StrictModel):
+    """Move a share of a service's traffic from some sites to others, in stages."""
+
+    kind: Literal['start_shift'] = 'start_shift'
+    shift: Name
+    service: Name
+    sources: Sites
+    destinations: Sites
+    target: Share = 1.0
+
+    @model_validator(mode='after')
+    def _sites_are_distinct(self) -> Self:
+        if set(self.sources) & set(self.destinations):
+            raise ValueError('a site is both source and destination')
+        return self
+
+
+class EvacuateRegion(StrictModel):
+    """Move all traffic out of a lost region, under the evacuation cap."""
+
+    kind: Literal['evacuate_region'] = 'evacuate_region'
+    region: Name
+
+
+class AdvanceShift(StrictModel):
+    """Bring a shift to its next stage; written by nodes, not by operators."""
+
+    kind: Literal['advance_shift'] = 'advance_shift'
+    shift: Name
+    stage: Annotated[int, Field(ge=0)]
+
+
+class ControlShift(StrictModel):
+    """Abort a shift where it stands, resume it, or take it back in stages."""
+
+    kind: Literal['control_shift'] = 'control_shift'
+    shift: Name
+    action: ShiftAction
+
+
+class SetBlockPages(StrictModel):
+    """Replace pages of the table of client blocks, named by their content.
+
+    A page is keyed by the first address it covers, as hexadecimal digits; None
+    removes a page. ``sites`` lists the sites that the pages number, append-only.
+    """
+
+    kind: Literal['set_block_pages'] = 'set_block_pages'
+    sites: tuple[Name, ...]
+    pages: Annotated[
+        dict[str, Digest | None],
+        Field(min_length=1, max_length=MAX_PAGES_IN_CHANGE),
+    ]
+
+
+ChangeBody = Annotated[
+    PutPolicy
+    | SetServerDrain
+    | SetEntryDrain
+    | SetSiteDrain
+    | StartShift
+    | EvacuateRegion
+    | AdvanceShift
+    | ControlShift
+    | SetBlockPages,
+    Field(discriminator='kind'),
+]
 
 
 class Change(StrictModel):
@@ -37,3 +130,8 @@
     operation_id: OperationId
     operator: str = ''
     body: ChangeBody
+
+
+def fingerprint(body: ChangeBody) -> str:
+    """Return a short digest that tells two bodies under one operation id apart."""
+    return xxhash.xxh3_64_hexdigest(body.model_dump_json().encode())
--- a/packages/daisylift/src/daisylift/schema/operator_grpc.py
+++ b/packages/daisylift/src/daisylift/schema/operator_grpc.py
@@ -22,6 +22,34 @@
     async def SetServerDrain(self, stream: 'grpclib.server.Stream[daisylift.schema.operator_pb2.SetServerDrainRequest, daisylift.schema.operator_pb2.ChangeReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def SetEntryDrain(self, stream: 'grpclib.server.Stream[daisylift.schema.operator_pb2.SetEntryDrainRequest, daisylift.schema.operator_pb2.ChangeReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def SetSiteDrain(self, stream: 'grpclib.server.Stream[daisylift.schema.operator_pb2.SetSiteDrainRequest, daisylift.schema.operator_pb2.ChangeReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def StartShift(self, stream: 'grpclib.server.Stream[daisylift.schema.operator_pb2.StartShiftRequest, daisylift.schema.operator_pb2.ChangeReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def ControlShift(self, stream: 'grpclib.server.Stream[daisylift.schema.operator_pb2.ControlShiftRequest, daisylift.schema.operator_pb2.ChangeReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def EvacuateRegion(self, stream: 'grpclib.server.Stream[daisylift.schema.operator_pb2.EvacuateRegionRequest, daisylift.schema.operator_pb2.ChangeReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def LoadBlocks(self, stream: 'grpclib.server.Stream[daisylift.schema.operator_pb2.LoadBlocksRequest, daisylift.schema.operator_pb2.ChangeReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def GetShifts(self, stream: 'grpclib.server.Stream[daisylift.schema.operator_pb2.GetShiftsRequest, daisylift.schema.operator_pb2.GetShiftsReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def GetPolicy(self, stream: 'grpclib.server.Stream[daisylift.schema.operator_pb2.GetPolicyRequest, daisylift.schema.operator_pb2.GetPolicyReply]') -> None:
         pass
@@ -44,6 +72,48 @@
                 daisylift.schema.operator_pb2.SetServerDrainRequest,
                 daisylift.schema.operator_pb2.ChangeReply,
             ),
+            '/daisylift.operator.Operator/SetEntryDrain': grpclib.const.Handler(
+                self.SetEntryDrain,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                daisylift.schema.operator_pb2.SetEntryDrainRequest,
+                daisylift.schema.operator_pb2.ChangeReply,
+            ),
+            '/daisylift.operator.Operator/SetSiteDrain': grpclib.const.Handler(
+                self.SetSiteDrain,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                daisylift.schema.operator_pb2.SetSiteDrainRequest,
+                daisylift.schema.operator_pb2.ChangeReply,
+            ),
+            '/daisylift.operator.Operator/StartShift': grpclib.const.Handler(
+                self.StartShift,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                daisylift.schema.operator_pb2.StartShiftRequest,
+                daisylift.schema.operator_pb2.ChangeReply,
+            ),
+            '/daisylift.operator.Operator/ControlShift': grpclib.const.Handler(
+                self.ControlShift,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                daisylift.schema.operator_pb2.ControlShiftRequest,
+                daisylift.schema.operator_pb2.ChangeReply,
+            ),
+            '/daisylift.operator.Operator/EvacuateRegion': grpclib.const.Handler(
+                self.EvacuateRegion,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                daisylift.schema.operator_pb2.EvacuateRegionRequest,
+                daisylift.schema.operator_pb2.ChangeReply,
+            ),
+            '/daisylift.operator.Operator/LoadBlocks': grpclib.const.Handler(
+                self.LoadBlocks,
+                grpclib.const.Cardinality.STREAM_UNARY,
+                daisylift.schema.operator_pb2.LoadBlocksRequest,
+                daisylift.schema.operator_pb2.ChangeReply,
+            ),
+            '/daisylift.operator.Operator/GetShifts': grpclib.const.Handler(
+                self.GetShifts,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                daisylift.schema.operator_pb2.GetShiftsRequest,
+                daisylift.schema.operator_pb2.GetShiftsReply,
+            ),
             '/daisylift.operator.Operator/GetPolicy': grpclib.const.Handler(
                 self.GetPolicy,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -74,6 +144,48 @@
             daisylift.schema.operator_pb2.SetServerDrainRequest,
             daisylift.schema.operator_pb2.ChangeReply,
         )
+        self.SetEntryDrain = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/daisylift.operator.Operator/SetEntryDrain',
+            daisylift.schema.operator_pb2.SetEntryDrainRequest,
+            daisylift.schema.operator_pb2.ChangeReply,
+        )
+        self.SetSiteDrain = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/daisylift.operator.Operator/SetSiteDrain',
+            daisylift.schema.operator_pb2.SetSiteDrainRequest,
+            daisylift.schema.operator_pb2.ChangeReply,
+        )
+        self.StartShift = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/daisylift.operator.Operator/StartShift',
+            daisylift.schema.operator_pb2.StartShiftRequest,
+            daisylift.schema.operator_pb2.ChangeReply,
+        )
+        self.ControlShift = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/daisylift.operator.Operator/ControlShift',
+            daisylift.schema.operator_pb2.ControlShiftRequest,
+            daisylift.schema.operator_pb2.ChangeReply,
+        )
+        self.EvacuateRegion = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/daisylift.operator.Operator/EvacuateRegion',
+            daisylift.schema.operator_pb2.EvacuateRegionRequest,
+            daisylift.schema.operator_pb2.ChangeReply,
+        )
+        self.LoadBlocks = grpclib.client.StreamUnaryMethod(
+            channel,
+            '/daisylift.operator.Operator/LoadBlocks',
+            daisylift.schema.operator_pb2.LoadBlocksRequest,
+            daisylift.schema.operator_pb2.ChangeReply,
+        )
+        self.GetShifts = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/daisylift.operator.Operator/GetShifts',
+            daisylift.schema.operator_pb2.GetShiftsRequest,
+            daisylift.schema.operator_pb2.GetShiftsReply,
+        )
         self.GetPolicy = grpclib.client.UnaryUnaryMethod(
             channel,
             '/daisylift.operator.Operator/GetPolicy',
