Steer look-ups by client block, with cuts that move exactly what is asked

Cause: a look-up named all entry VMs in the order of their ordinals, whoever asked. Now a block of client addresses has a home site (packed arrays in pages), block and service hash to a fixed point, and the cut of the home site says which site serves that point. Moves, returns and steps of cuts are exact to one of 2^32 points. Entry VMs come nearest to the site first, from rings on which a VM that goes moves only its own callers; leaving ones are dropped, and the list is never empty while any VM is known. Bad input is refused with a reason. Each node limits itself to a cap a spacing when it follows.

Ruled out: recomputing cuts from the list of shifts at each stage, since two shifts from one site then push each other's points along and more moves than changed; weighted rendezvous per point, since a new site would move traffic without a shift.

Before: order by ordinal, no site in the answer.

--- a/packages/daisylift-node/src/daisylift_node/process/application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/application.py
@@ -22,6 +22,7 @@
 from daisylift_node.request.relay import RelayHandler
 from daisylift_node.version.change_writer import ChangeWriter
 from daisylift_node.version.configuration import ConfigurationFollower
+from daisylift_node.version.steering import REFRESH_SECONDS, Steering
 
 INCARNATION_BYTES = 8
 MEMBERS_PERIOD_SECONDS = 1.0
@@ -51,6 +52,7 @@
         self.follower = ConfigurationFollower(self.platform, self.metrics)
         self.writer = ChangeWriter(self.follower, self.metrics)
         self.members = Members(settings, self.incarnation, self.platform)
+        self.steering = Steering(self.members)
         self.permits = PermitPool()
         self._runners: list[web.AppRunner] = []
         self._operator_server: Server | None = None
@@ -68,6 +70,7 @@
             await component.start()
         await self._refresh_members()
         self.timer.subscribe(MEMBERS_PERIOD_SECONDS, self._refresh_members)
+        self.timer.subscribe(REFRESH_SECONDS, self.steering.refresh)
         await self._listen(self._caller_application(), self.settings.caller)
         await self._listen(self._operations_application(), self.settings.operations)
         await self._listen_for_operators()
@@ -90,14 +93,16 @@
 
     def _on_configuration(self, configuration: Configuration) -> None:
         self.permits.set_configuration(configuration)
+        self.steering.set_configuration(configuration)
 
     async def _refresh_members(self) -> None:
         await self.members.refresh(self.follower.current)
+        self.steering.refresh_entries()
         if self.members.own is not None:
             self.permits.set_ordinal(self.members.own.ordinal)
 
     def _caller_application(self) -> web.Application:
-        lookup = LookupHandler(self.follower, self.members, self.metrics)
+        lookup = LookupHandler(self.steering, self.metrics)
         relay = RelayHandler(
             self.settings, self.follower, self.permits, self.connections, self.metrics
         )
--- /dev/null
+++ b/packages/daisylift-node/src/daisylift_node/version/steering.py
@@ -0,0 +1,90 @@
+"""What this node steers by: effective cuts, client blocks, and the entry VMs."""
+
+import time
+from collections.abc import Mapping
+
+from daisylift.decisions import blocks
+from daisylift.decisions.blocks import BlockTable, IpAddress
+from daisylift.decisions.configuration import Configuration
+from daisylift.decisions.entries import EntryRings, EntryVm
+from daisylift.decisions.limiter import CutLimiter
+from daisylift.decisions.state import UNKNOWN_HOME
+from daisylift.decisions.steering import Position, position_of, site_at
+from daisylift_node.process.members import Member, Members
+
+REFRESH_SECONDS = 0.5
+
+
+class Steering:
+    """Follows configuration and members; answers from memory alone."""
+
+    def __init__(self, members: Members) -> None:
+        self.configuration = Configuration()
+        self.blocks: BlockTable = blocks.EMPTY_TABLE
+        self.limiter = CutLimiter()
+        self.stages_by_service: Mapping[str, Mapping[str, int]] = {}
+        self._members = members
+        self._rings = EntryRings(())
+        self._seen: object = None
+
+    def set_configuration(self, configuration: Configuration) -> None:
+        """Steer by another configuration, as fast as its caps allow."""
+        self.configuration = configuration
+        self.limiter.step(configuration, time.monotonic())
+        self.stages_by_service = _stages(configuration)
+
+    def set_blocks(self, table: BlockTable) -> None:
+        """Steer by another table of client blocks."""
+        self.blocks = table
+
+    async def refresh(self) -> None:
+        """Take further steps, and look at the members again."""
+        self.limiter.step(self.configuration, time.monotonic())
+        self.refresh_entries()
+
+    def refresh_entries(self) -> None:
+        """Build the rings of entry VMs again when the members changed."""
+        seen = self._entry_vms()
+        if seen != self._seen:
+            self._seen = seen
+            self._rings = EntryRings(seen)
+
+    def site_of(self, service: str, address: IpAddress) -> tuple[str, Position]:
+        """Return the site that serves the address; the service must be known."""
+        block = self.blocks.find(address)
+        key = block.key if block else blocks.unknown_block_key(address)
+        home = self.configuration.blocks.sites[block.home] if block else UNKNOWN_HOME
+        cuts = self.limiter.cuts[service]
+        cut = cuts.get(home) or cuts[UNKNOWN_HOME]
+        position = position_of(service, key)
+        return site_at(cut, position.point), position
+
+    def entries_for(self, site: str, rotation: int) -> list[Member]:
+        """Return the entry VMs to name for the site, nearest first."""
+        region = self.configuration.index.region_by_site.get(site, '')
+        by_ordinal = self._members.by_ordinal
+        ordinals = self._rings.ordered(site, region, rotation)
+        return [by_ordinal[ordinal] for ordinal in ordinals if ordinal in by_ordinal]
+
+    def _entry_vms(self) -> tuple[EntryVm, ...]:
+        configuration = self.configuration
+        region_by_site = configuration.index.region_by_site
+        return tuple(
+            EntryVm(
+                ordinal=ordinal,
+                failure_domain=member.claim.failure_domain,
+                region=region_by_site.get(member.claim.failure_domain, ''),
+                is_leaving=member.claim.released
+                or ordinal in configuration.entry_drains
+                or member.claim.failure_domain in configuration.drained_sites,
+            )
+            for ordinal, member in sorted(self._members.by_ordinal.items())
+        )
+
+
+def _stages(configuration: Configuration) -> dict[str, dict[str, int]]:
+    stages: dict[str, dict[str, int]] = {}
+    for shift in configuration.shifts.values():
+        if shift.is_active:
+            stages.setdefault(shift.service, {})[shift.name] = shift.stage
+    return stages
--- /dev/null
+++ b/packages/daisylift/src/daisylift/decisions/blocks.py
@@ -0,0 +1,299 @@
+"""Client blocks: which home site each block of addresses has, in packed arrays.
+
+A block runs from its first address to the next block's first address. Blocks are
+kept in pages that change one by one; a page is named by its first address, and its
+content by a digest. IPv6 blocks are kept by the upper 64 bits of their addresses.
+"""
+
+import ipaddress
+import sys
+from array import array
+from bisect import bisect_right
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+
+from daisylift.errors import DaisyliftError
+
+PAGE_BLOCKS = 4096
+NO_HOME = 0xFFFF
+IPV6_KEPT_BITS = 64
+ADDRESS_TYPE_BY_FAMILY = {4: 'I', 6: 'Q'}
+END_BY_FAMILY = {4: 1 << 32, 6: 1 << IPV6_KEPT_BITS}
+HEX_DIGITS_BY_FAMILY = {4: 8, 6: 16}
+
+IpAddress = ipaddress.IPv4Address | ipaddress.IPv6Address
+
+
+class BlockError(DaisyliftError):
+    """A block or a page of blocks can't be read."""
+
+
+@dataclass(frozen=True, slots=True)
+class BlockRange:
+    """Addresses ``start`` up to, not including, ``end``, and their home site."""
+
+    family: int
+    start: int
+    end: int
+    home: int
+
+
+@dataclass(frozen=True, slots=True)
+class Block:
+    """The block that an address lies in; ``key`` is its packed first address."""
+
+    key: bytes
+    home: int
+
+
+@dataclass(frozen=True, slots=True)
+class Page:
+    """Blocks in order: first addresses, and the number of each one's home site."""
+
+    family: int
+    starts: array
+    homes: array
+
+    @property
+    def name(self) -> str:
+        """Return the page's name: family and first address, sorting as they do."""
+        return page_name(self.family, self.starts[0])
+
+
+@dataclass(frozen=True, slots=True)
+class FamilyTable:
+    """The pages of one family in the order of their first addresses."""
+
+    page_starts: array
+    pages: tuple[Page, ...]
+
+    def find(self, address: int) -> tuple[int, int] | None:
+        """Return first address and home of the block with the address, or None."""
+        number = bisect_right(self.page_starts, address) - 1
+        if number < 0:
+            return None
+        page = self.pages[number]
+        index = bisect_right(page.starts, address) - 1
+        return page.starts[index], page.homes[index]
+
+
+@dataclass(frozen=True, slots=True)
+class BlockTable:
+    """All blocks. A changed table shares every page that did not change."""
+
+    by_family: Mapping[int, FamilyTable]
+
+    def find(self, address: IpAddress) -> Block | None:
+        """Return the block with the address, or None when no block has it."""
+        family = address.version
+        found = self.by_family[family].find(_number(address))
+        if found is None or found[1] == NO_HOME:
+            return None
+        return Block(key=_key(family, found[0]), home=found[1])
+
+    def pages_by_name(self) -> dict[str, Page]:
+        """Return all pages keyed by name."""
+        return {
+            page.name: page for table in self.by_family.values() for page in table.pages
+        }
+
+    def with_pages(self, changes: Mapping[str, Page | None]) -> 'BlockTable':
+        """Return the table with pages replaced, or removed where None is given."""
+        pages = self.pages_by_name()
+        for name, page in changes.items():
+            pages.pop(name, None)
+            if page is not None:
+                pages[name] = page
+        return table_of(pages.values())
+
+
+def table_of(pages: Iterable[Page]) -> BlockTable:
+    """Return the table of the pages."""
+    by_family: dict[int, list[Page]] = {family: [] for family in END_BY_FAMILY}
+    for page in pages:
+        by_family[page.family].append(page)
+    return BlockTable({f: _family_table(f, found) for f, found in by_family.items()})
+
+
+EMPTY_TABLE = BlockTable(
+    {
+        family: FamilyTable(page_starts=array(type_code), pages=())
+        for family, type_code in ADDRESS_TYPE_BY_FAMILY.items()
+    }
+)
+
+
+def unknown_block_key(address: IpAddress) -> bytes:
+    """Return the key under which an address without a block is steered."""
+    prefix = 24 if address.version == 4 else 48
+    network = ipaddress.ip_network((address, prefix), strict=False)
+    return _key(address.version, _number(network.network_address))
+
+
+def parse_range(text: str, home: int) -> BlockRange:
+    """Read a block in CIDR notation or as START-END, both ends included."""
+    first, dash, last = text.partition('-')
+    try:
+        if dash:
+            start, end = ipaddress.ip_address(first), ipaddress.ip_address(last)
+        else:
+            network = ipaddress.ip_network(text)
+            start, end = network.network_address, network.broadcast_address
+    except ValueError as error:
+        raise BlockError(str(error)) from error
+    if start.version != end.version or start > end:
+        raise BlockError(f'{text!r} does not end after it starts')
+    return BlockRange(start.version, _number(start), _number(end) + 1, home)
+
+
+def merged_pages(
+    table: BlockTable, ranges: Sequence[BlockRange], *, replace_all: bool = False
+) -> dict[str, Page | None]:
+    """Return the pages that change when the ranges are laid over the table."""
+    changes: dict[str, Page | None] = {}
+    if replace_all:
+        changes = dict.fromkeys(table.pages_by_name())
+        table = EMPTY_TABLE
+    for family in END_BY_FAMILY:
+        wanted = sorted(
+            (r for r in ranges if r.family == family), key=lambda r: r.start
+        )
+        _require_no_overlap(wanted)
+        if wanted:
+            changes.update(_merged_family(table.by_family[family], family, wanted))
+    return changes
+
+
+def encode_page(page: Page) -> bytes:
+    """Return the page as bytes: family, then first addresses, then homes."""
+    starts, homes = _swapped(page.starts), _swapped(page.homes)
+    return bytes([page.family]) + starts.tobytes() + homes.tobytes()
+
+
+def decode_page(content: bytes) -> Page:
+    """Read a page from bytes; raise BlockError when they are not one."""
+    family = content[0] if content else 0
+    if family not in ADDRESS_TYPE_BY_FAMILY:
+        raise BlockError('the page is of no known family')
+    starts, homes = array(ADDRESS_TYPE_BY_FAMILY[family]), array('H')
+    count, rest = divmod(len(content) - 1, starts.itemsize + homes.itemsize)
+    if rest or not count:
+        raise BlockError('the page has a wrong length')
+    middle = 1 + count * starts.itemsize
+    starts.frombytes(content[1:middle])
+    homes.frombytes(content[middle:])
+    page = Page(family, _swapped(starts), _swapped(homes))
+    if any(a >= b for a, b in zip(page.starts, page.starts[1:], strict=False)):
+        raise BlockError('the blocks of the page are not in order')
+    return page
+
+
+def page_name(family: int, start: int) -> str:
+    """Return the name of the page of the family that starts at the address."""
+    return f'{family}.{start:0{HEX_DIGITS_BY_FAMILY[family]}x}'
+
+
+def _merged_family(
+    table: FamilyTable, family: int, wanted: Sequence[BlockRange]
+) -> dict[str, Page | None]:
+    if not table.pages:
+        merged = _laid_over([], [], wanted, END_BY_FAMILY[family])
+        return dict(_cut_pages(family, *merged))
+    changes: dict[str, Page | None] = {}
+    limits = [0, *table.page_starts[1:], END_BY_FAMILY[family]]
+    for number, page in enumerate(table.pages):
+        inside = _clipped(wanted, limits[number], limits[number + 1])
+        if not inside:
+            continue
+        starts, homes = list(page.starts), list(page.homes)
+        merged = _laid_over(starts, homes, inside, limits[number + 1])
+        if merged == (starts, homes):
+            continue
+        changes[page.name] = None
+        changes.update(_cut_pages(family, *merged))
+    return changes
+
+
+def _clipped(wanted: Sequence[BlockRange], start: int, end: int) -> list[BlockRange]:
+    first = max(0, bisect_right(wanted, start, key=lambda r: r.start) - 1)
+    inside = []
+    for one in wanted[first:]:
+        if one.start >= end:
+            break
+        low, high = max(one.start, start), min(one.end, end)
+        if low < high:
+            inside.append(BlockRange(one.family, low, high, one.home))
+    return inside
+
+
+def _laid_over(
+    starts: list[int], homes: list[int], wanted: Sequence[BlockRange], limit: int
+) -> tuple[list[int], list[int]]:
+    """Lay sorted ranges over the blocks of a page that ends before the limit."""
+    new_starts: list[int] = []
+    new_homes: list[int] = []
+    index = 0
+    behind = NO_HOME
+    for one in wanted:
+        while index < len(starts) and starts[index] < one.start:
+            behind = homes[index]
+            new_starts.append(starts[index])
+            new_homes.append(behind)
+            index += 1
+        if new_starts and new_starts[-1] == one.start:
+            new_starts.pop()
+            new_homes.pop()
+        new_starts.append(one.start)
+        new_homes.append(one.home)
+        while index < len(starts) and starts[index] < one.end:
+            behind = homes[index]
+            index += 1
+        follows = index < len(starts) and starts[index] == one.end
+        if not follows and one.end < limit:
+            new_starts.append(one.end)
+            new_homes.append(behind)
+    new_starts.extend(starts[index:])
+    new_homes.extend(homes[index:])
+    return new_starts, new_homes
+
+
+def _cut_pages(family: int, starts: list[int], homes: list[int]) -> dict[str, Page]:
+    pages = (
+        Page(
+            family,
+            array(ADDRESS_TYPE_BY_FAMILY[family], starts[i : i + PAGE_BLOCKS]),
+            array('H', homes[i : i + PAGE_BLOCKS]),
+        )
+        for i in range(0, len(starts), PAGE_BLOCKS)
+    )
+    return {page.name: page for page in pages}
+
+
+def _require_no_overlap(wanted: Sequence[BlockRange]) -> None:
+    for before, after in zip(wanted, wanted[1:], strict=False):
+        if after.start < before.end:
+            name = page_name(after.family, after.start)
+            raise BlockError(f'two blocks overlap at {name}')
+
+
+def _family_table(family: int, pages: list[Page]) -> FamilyTable:
+    pages.sort(key=lambda page: page.starts[0])
+    starts = array(ADDRESS_TYPE_BY_FAMILY[family], (p.starts[0] for p in pages))
+    return FamilyTable(page_starts=starts, pages=tuple(pages))
+
+
+def _number(address: IpAddress) -> int:
+    number = int(address)
+    return number if address.version == 4 else number >> IPV6_KEPT_BITS
+
+
+def _key(family: int, start: int) -> bytes:
+    return bytes([family]) + start.to_bytes(8, 'big')
+
+
+def _swapped(values: array) -> array:
+    if sys.byteorder == 'little':
+        return values
+    values = values[:]
+    values.byteswap()
+    return values
--- /dev/null
+++ b/packages/daisylift/src/daisylift/decisions/entries.py
@@ -0,0 +1,79 @@
+"""The order in which a look-up names the entry VMs for a site."""
+
+from bisect import bisect_left
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+import xxhash
+
+MAX_ENTRY_VMS = 8
+NEAR_ENTRY_VMS = 4
+REGION_ENTRY_VMS = 2
+
+
+@dataclass(frozen=True, slots=True)
+class EntryVm:
+    """An entry VM as known at this moment."""
+
+    ordinal: int
+    failure_domain: str
+    region: str
+    is_leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class _Ring:
+    points: tuple[int, ...]
+    ordinals: tuple[int, ...]
+
+    def walk(self, rotation: int) -> Iterator[int]:
+        first = bisect_left(self.points, rotation)
+        yield from self.ordinals[first:]
+        yield from self.ordinals[:first]
+
+
+class EntryRings:
+    """Entry VMs on rings by failure domain and region.
+
+    A VM stands at a fixed place, so one that comes or goes moves only its own
+    callers. Leaving VMs are left out while any other VM is known.
+    """
+
+    def __init__(self, vms: Iterable[EntryVm]) -> None:
+        known = list(vms)
+        staying = [vm for vm in known if not vm.is_leaving] or known
+        self._by_domain = _rings(staying, lambda vm: vm.failure_domain)
+        self._by_region = _rings(staying, lambda vm: vm.region)
+        self._all = _rings(staying, lambda _: '').get('', _Ring((), ()))
+
+    def ordered(self, site: str, region: str, rotation: int) -> list[int]:
+        """Return ordinals, nearest to the site first, at most ``MAX_ENTRY_VMS``."""
+        chosen: dict[int, None] = {}
+        empty = _Ring((), ())
+        rings = (
+            (self._by_domain.get(site, empty), NEAR_ENTRY_VMS),
+            (self._by_region.get(region, empty), REGION_ENTRY_VMS),
+            (self._all, MAX_ENTRY_VMS),
+        )
+        for ring, count in rings:
+            limit = min(MAX_ENTRY_VMS, len(chosen) + count)
+            for ordinal in ring.walk(rotation):
+                if len(chosen) >= limit:
+                    break
+                chosen[ordinal] = None
+        return list(chosen)
+
+
+def _rings(vms: list[EntryVm], key_of: object) -> dict[str, _Ring]:
+    points_by_key: dict[str, list[tuple[int, int]]] = {}
+    for vm in vms:
+        point = xxhash.xxh32_intdigest(str(vm.ordinal).encode())
+        points_by_key.setdefault(key_of(vm), []).append((point, vm.ordinal))
+    rings = {}
+    for key, points in points_by_key.items():
+        points.sort()
+        rings[key] = _Ring(
+            points=tuple(point for point, _ in points),
+            ordinals=tuple(ordinal for _, ordinal in points),
+        )
+    return rings
--- /dev/null
+++ b/packages/daisylift/src/daisylift/decisions/limiter.py
@@ -0,0 +1,91 @@
+"""The limit that each node puts on itself: no more than a cap in one spacing.
+
+A node answers look-ups by its own effective cuts, which it brings towards those of
+the configuration. A node that follows without delay is always there; one that comes
+back after a cut has far to go, and goes one capped step at a time.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from daisylift.decisions.shifts import ShiftKind, points_of, spacing_seconds
+from daisylift.decisions.state import Configuration
+from daisylift.decisions.steering import Cut, differing_points, step_towards
+
+CutByHome = Mapping[str, Cut]
+
+
+@dataclass(slots=True)
+class CutLimiter:
+    """The effective cuts of one node, by service and home site."""
+
+    cuts: dict[str, CutByHome] = field(default_factory=dict)
+    _moves_by_service: dict[str, list[tuple[float, int]]] = field(default_factory=dict)
+
+    def step(self, configuration: Configuration, now: float) -> bool:
+        """Come as near to the configuration as the caps allow; say if all is there.
+
+        A service that is new to this node is taken as it stands.
+        """
+        for service in self.cuts.keys() - configuration.cuts.keys():
+            del self.cuts[service]
+            self._moves_by_service.pop(service, None)
+        is_there = True
+        for service, target in configuration.cuts.items():
+            current = self.cuts.get(service)
+            if current is target:
+                continue
+            if current is None:
+                self.cuts[service] = target
+                continue
+            budget = self._budget(configuration, service, now)
+            is_there &= self._bring(service, current, target, budget, now)
+        return is_there
+
+    def cut_of(self, service: str, home: str) -> Cut | None:
+        """Return the effective cut of a home site, or None when it is not known."""
+        return self.cuts.get(service, {}).get(home)
+
+    def _bring(
+        self,
+        service: str,
+        current: CutByHome,
+        target: CutByHome,
+        budget: int,
+        now: float,
+    ) -> bool:
+        moved = 0
+        after = {}
+        is_there = True
+        for home, cut in target.items():
+            before = current.get(home)
+            if before is None or before is cut:
+                after[home] = cut
+                continue
+            after[home] = step_towards(before, cut, budget)
+            moved = max(moved, differing_points(before, after[home]))
+            is_there &= after[home] is cut
+        self.cuts[service] = target if is_there else after
+        if moved:
+            self._moves_by_service.setdefault(service, []).append((now, moved))
+        return is_there
+
+    def _budget(self, configuration: Configuration, service: str, now: float) -> int:
+        settings = configuration.index.services_by_name[service]
+        spacing = spacing_seconds(settings)
+        moves = self._moves_by_service.get(service, [])
+        recent = [(at, points) for at, points in moves if now - at < spacing]
+        self._moves_by_service[service] = recent
+        cap = settings.shift_cap
+        if _is_evacuated(configuration, service):
+            cap = max(cap, configuration.policy.evacuation_cap)
+        return max(0, points_of(cap) - sum(points for _, points in recent))
+
+
+def _is_evacuated(configuration: Configuration, service: str) -> bool:
+    return any(
+        shift.kind is ShiftKind.EVACUATION
+        and shift.is_active
+        and shift.service == service
+        for shift in configuration.shifts.values()
+    )
--- a/packages/daisylift/src/daisylift/decisions/policies.py
+++ b/packages/daisylift/src/daisylift/decisions/policies.py
@@ -5,6 +5,7 @@
 
 from daisylift.decisions.shifts import points_of
 from daisylift.decisions.state import (
+    UNKNOWN_HOME,
     ChangeProblem,
     ChangeRefusedError,
     Configuration,
@@ -12,7 +13,7 @@
     ServerKey,
     with_effective_drains,
 )
-from daisylift.decisions.steering import Cut, nearest_site, whole
+from daisylift.decisions.steering import Cut, divided, nearest_site, whole
 from daisylift.models import Policy, Service
 
 
@@ -99,8 +100,10 @@
     slots_by_site = index.slots_by_site_by_service[service]
     sites = sorted(slots_by_site)
     cuts = {}
-    for home in index.region_by_site:
+    for home in (UNKNOWN_HOME, *index.region_by_site):
         cut = before.get(home)
+        if cut is None and home == UNKNOWN_HOME:
+            cut = divided(slots_by_site)
         if cut is None:
             cut = whole(nearest_site(home, sites, index.region_by_site))
         _require_served(service, home, cut, slots_by_site)
--- a/packages/daisylift/src/daisylift/decisions/state.py
+++ b/packages/daisylift/src/daisylift/decisions/state.py
@@ -11,6 +11,7 @@
 
 EMPTY_POLICY = Policy(failure_domains=(), roster=(), services=())
 OPERATIONS_IN_GENERATION = 2048
+UNKNOWN_HOME = ''
 
 
 class ChangeProblem(enum.StrEnum):
@@ -101,7 +102,8 @@
 
     ``draining`` holds every backend server that gets no new work, whatever the
     reason; ``server_drains`` and ``site_drains`` are what operators asked for.
-    ``cuts`` says, by service and home site, which sites serve which points.
+    ``cuts`` says, by service and home site, which sites serve which points; callers
+    whose home is not known are under ``UNKNOWN_HOME``.
     """
 
     version: int = 0
--- a/packages/daisylift/src/daisylift/decisions/steering.py
+++ b/packages/daisylift/src/daisylift/decisions/steering.py
@@ -60,6 +60,12 @@
     return Cut(ends=(POINTS,), owners=(Owner(site),))
 
 
+def divided(weights: Mapping[str, int]) -> Cut:
+    """Return the cut that gives sites shares by their weights."""
+    limits = _limits(weights, POINTS)
+    return _joined([(limit, Owner(site)) for limit, site in limits])
+
+
 def position_of(service: str, block: bytes) -> Position:
     """Return the fixed position of a block (its packed first address)."""
     digest = xxhash.xxh3_64_intdigest(block + service.encode())
