--- a/packages/daisylift-node/src/daisylift_node/process/application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/application.py
@@ -20,7 +20,9 @@
 from daisylift_node.process.timer import TimerService
 from daisylift_node.request.lookup import LookupHandler
 from daisylift_node.request.relay import RelayHandler
+from daisylift_node.version.change_writer import ChangeWriter
 from daisylift_node.version.configuration import ConfigurationFollower
+from daisylift_node.version.steering import REFRESH_SECONDS, Steering
 
 MEMBERS_PERIOD_SECONDS = 1.0
 PERMITS_PERIOD_SECONDS = 0.1
@@ -51,7 +53,9 @@
         )
         self.connections = UpstreamConnections()
         self.follower = ConfigurationFollower(self.platform, self.metrics)
+        self.writer = ChangeWriter(self.follower, self.metrics)
         self.members = Members(settings, self.incarnation, self.platform)
+        self.steering = Steering(self.members)
         self.permits = PermitPool()
         self._runners: list[web.AppRunner] = []
         self._operator_server: Server | None = None
@@ -71,6 +75,7 @@
         await self._refresh_members()
         self.timer.subscribe(MEMBERS_PERIOD_SECONDS, self._refresh_members)
         self.timer.subscribe(PERMITS_PERIOD_SECONDS, self.permits.tick)
+        self.timer.subscribe(REFRESH_SECONDS, self.steering.refresh)
         await self._listen(self._caller_application(), self.settings.caller)
         await self._listen(self._operations_application(), self.settings.operations)
         await self._listen_for_operators()
@@ -94,15 +99,17 @@
     def _on_configuration(self, configuration: Configuration) -> None:
         self.peers.configuration_version = configuration.version
         self.permits.set_configuration(configuration)
+        self.steering.set_configuration(configuration)
 
     async def _refresh_members(self) -> None:
         await self.members.refresh(self.follower.current)
+        self.steering.refresh_entries()
         if self.members.own is not None:
             self.peers.ordinal = self.members.own.ordinal
             self.permits.set_ordinal(self.members.own.ordinal)
 
     def _caller_application(self) -> web.Application:
-        lookup = LookupHandler(self.follower, self.members, self.metrics)
+        lookup = LookupHandler(self.steering, self.metrics)
         relay = RelayHandler(
             self.settings, self.follower, self.permits, self.connections, self.metrics
         )
@@ -157,6 +164,7 @@
             key=address.key.get_secret_value(),
             follower=self.follower,
             members=self.members,
+            writer=self.writer,
         )
         self._operator_server = Server([service])
         try:
--- a/packages/daisylift/src/daisylift/models/__init__.py
+++ b/packages/daisylift/src/daisylift/models/__init__.py
@@ -1,11 +1,19 @@
 """Validated models of what crosses the border: policy, changes, stored objects."""
 
 from daisylift.models.change import (
+    AdvanceShift,
     Change,
     ChangeBody,
+    ControlShift,
+    EvacuateRegion,
     PutPolicy,
+    SetBlockPages,
+    SetEntryDrain,
     SetOrdinalEpoch,
     SetServerDrain,
+    SetSiteDrain,
+    StartShift,
+    fingerprint,
 )
 from daisylift.models.policy import (
     BackendServer,
@@ -18,16 +26,24 @@
 from daisylift.models.roster import Claim
 
 __all__ = [
+    'AdvanceShift',
     'BackendServer',
     'Change',
     'ChangeBody',
     'Claim',
+    'ControlShift',
+    'EvacuateRegion',
     'FailureDomain',
     'Link',
     'Policy',
     'PutPolicy',
     'RosterEntry',
     'Service',
+    'SetBlockPages',
+    'SetEntryDrain',
     'SetOrdinalEpoch',
     'SetServerDrain',
+    'SetSiteDrain',
+    'StartShift',
+    'fingerprint',
 ]
