Split the relay into check, guard, admission, exchange and answer

Cause: one module chose, waited, sent and answered, so at-most-once had no place to stand, refusals before routing had no outcome header, queries were decoded and encoded again, and a kept connection could be used after a timeout. Ruled out: keeping the web framework's router before the relay; it decodes paths and answers unreadable requests in plain text without an outcome. Conclusion: handle = check, read ahead, guard, then serve = admit and exchange. The guard is given the call and the function that serves it; call.recorder sees the answer.

--- /dev/null
+++ b/packages/daisylift-node/src/daisylift_node/connection/caller.py
@@ -0,0 +1,99 @@
+"""The callers' port: dispatches requests, and answers even the unreadable ones."""
+
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+from aiohttp.http_exceptions import LineTooLong
+from loguru import logger
+
+from daisylift import headers
+from daisylift.outcome import Outcome
+from daisylift_node.request.call import SERVICES_PREFIX
+from daisylift_node.request.problem import (
+    Reason,
+    did_not_run,
+    refusal_response,
+    unknown,
+)
+
+LOOKUP_PATH = '/v1/lookup'
+LOOKUP_METHODS = ('GET', 'HEAD')
+MAX_FIELD_BYTES = 16 * 1024
+IDLE_SECONDS = 75.0
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+class CallerConnection(web.RequestHandler):
+    """One connection of a caller."""
+
+    __slots__ = ()
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answer what could not be read or handled with a problem document."""
+        if request.writer.output_size > 0:
+            raise ConnectionError('an answer has begun already')
+        response = refusal_response(_refusal_of(status, exc, message))
+        response.force_close()
+        return response
+
+
+class CallerServer(web.Server):
+    """Makes a CallerConnection for each caller that connects."""
+
+    def __call__(self) -> web.RequestHandler:
+        """Return the protocol of a new connection."""
+        return CallerConnection(self, loop=self._loop, **self._kwargs)
+
+
+def caller_server(lookup: Handler, relay: Handler) -> CallerServer:
+    """Return the server of the callers' port."""
+
+    async def dispatch(request: web.BaseRequest) -> web.StreamResponse:
+        path = request.raw_path
+        if path.startswith(SERVICES_PREFIX):
+            return await relay(request)
+        if path.partition('?')[0] != LOOKUP_PATH:
+            refusal = did_not_run(Reason.UNKNOWN_PATH, 'there is nothing at this path')
+            return refusal_response(refusal)
+        if request.method not in LOOKUP_METHODS:
+            return _method_not_allowed(request.method)
+        answer = await lookup(request)
+        answer.headers.setdefault(headers.OUTCOME, Outcome.ANSWERED.value)
+        return answer
+
+    return CallerServer(
+        dispatch,
+        handler_cancellation=True,
+        access_log=None,
+        max_field_size=MAX_FIELD_BYTES,
+        max_line_size=MAX_FIELD_BYTES,
+        keepalive_timeout=IDLE_SECONDS,
+    )
+
+
+def _method_not_allowed(method: str) -> web.Response:
+    refusal = did_not_run(Reason.METHOD_NOT_ALLOWED, f'look-ups are no {method[:16]}')
+    response = refusal_response(refusal)
+    response.headers['Allow'] = ', '.join(LOOKUP_METHODS)
+    return response
+
+
+def _refusal_of(status: int, exc: BaseException | None, message: str | None):
+    if isinstance(exc, LineTooLong):
+        return did_not_run(Reason.HEADERS_TOO_LARGE, 'a line or header is too long')
+    if status < 500:
+        return did_not_run(Reason.BAD_REQUEST, _first_line(message))
+    logger.opt(exception=exc).error('a request could not be handled')
+    return unknown(Reason.INTERNAL, 'the request could not be handled')
+
+
+def _first_line(message: str | None) -> str:
+    lines = (message or '').strip().splitlines()
+    return lines[0] if lines else 'the request can not be read'
--- a/packages/daisylift-node/src/daisylift_node/connection/upstream.py
+++ b/packages/daisylift-node/src/daisylift_node/connection/upstream.py
@@ -1,33 +1,148 @@
-"""Connections to backend servers."""
+"""Connections to backend servers: one pool for each, and a fence before each send."""
+
+import asyncio
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
 
 import aiohttp
+from aiohttp.client_middlewares import ClientHandlerType
+
+from daisylift.decisions.configuration import ServerKey
+from daisylift.models import BackendServer
 
 READ_CHUNK_BYTES = 64 * 1024
+IDLE_SECONDS = 15.0
+CONNECT_SECONDS = 1.0
+MAX_ANSWER_FIELD_BYTES = 16 * 1024
+
+
+class DispatchRefusedError(aiohttp.ClientError):
+    """The request may no longer be sent; no byte of it has left."""
+
+
+class Dispatch:
+    """A client middleware for one request, asked right before its first byte leaves.
+
+    ``has_left`` tells afterwards whether any byte may have left.
+    """
+
+    def __init__(self, may_start: Callable[[], bool]) -> None:
+        self.has_left = False
+        self._may_start = may_start
+
+    async def __call__(
+        self, request: aiohttp.ClientRequest, handler: ClientHandlerType
+    ) -> aiohttp.ClientResponse:
+        """Put the fence before the request."""
+        if isinstance(request, FencedRequest):
+            request.dispatch = self
+        return await handler(request)
+
+    def leave(self) -> None:
+        """Let the request leave, or raise DispatchRefusedError."""
+        if self.has_left:
+            raise DispatchRefusedError('the request was sent before')
+        if not self._may_start():
+            raise DispatchRefusedError('the permit is no longer good')
+        self.has_left = True
+
+
+class FencedRequest(aiohttp.ClientRequest):
+    """A request that asks its dispatch once its connection is there."""
+
+    dispatch: Dispatch | None = None
+
+    async def send(self, conn: aiohttp.connector.Connection) -> aiohttp.ClientResponse:
+        """Send the request over the connection, if it may still leave."""
+        if self.dispatch is not None:
+            self.dispatch.leave()
+        return await super().send(conn)
+
+
+@dataclass(slots=True)
+class Pool:
+    """The kept connections to one backend server."""
+
+    session: aiohttp.ClientSession
+    address: tuple[str, int]
+    limit: int
+    in_use: int = 0
+    retired: bool = False
+
+    async def close_if_idle(self) -> None:
+        """Close a retired pool once no request uses it."""
+        if self.retired and self.in_use == 0:
+            await self.session.close()
 
 
 class UpstreamConnections:
-    """Owns the connection pools towards all backend servers."""
+    """Owns the connection pools, keyed by backend server."""
 
     def __init__(self) -> None:
-        self._session: aiohttp.ClientSession | None = None
+        self._by_server: dict[ServerKey, Pool] = {}
+        self._closing: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
-        """Open the pools."""
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0),
-            auto_decompress=False,
-            cookie_jar=aiohttp.DummyCookieJar(),
-            skip_auto_headers=('User-Agent', 'Accept', 'Accept-Encoding'),
-        )
+        """Do nothing; pools open when first used."""
 
     async def stop(self) -> None:
         """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
-
-    @property
-    def session(self) -> aiohttp.ClientSession:
-        """Return the open session."""
-        if self._session is None:
-            raise RuntimeError('the upstream connections are not started')
-        return self._session
+        await asyncio.gather(*self._closing)
+        for pool in self._by_server.values():
+            await pool.session.close()
+        self._by_server.clear()
+
+    def keep_only(self, servers: Iterable[ServerKey]) -> None:
+        """Close the pools of all other servers once their requests have ended."""
+        for key in self._by_server.keys() - set(servers):
+            self._retire(key)
+
+    @contextmanager
+    def lease(
+        self, key: ServerKey, server: BackendServer, limit: int
+    ) -> Iterator[aiohttp.ClientSession]:
+        """Lend the session of the server, which opens at most ``limit`` connections."""
+        pool = self._pool(key, (server.host, server.port), max(1, limit))
+        pool.in_use += 1
+        try:
+            yield pool.session
+        finally:
+            pool.in_use -= 1
+            if pool.retired and pool.in_use == 0:
+                self._close(pool)
+
+    def _pool(self, key: ServerKey, address: tuple[str, int], limit: int) -> Pool:
+        pool = self._by_server.get(key)
+        if pool is not None and pool.address == address and pool.limit == limit:
+            return pool
+        if pool is not None:
+            self._retire(key)
+        pool = Pool(session=_session(limit), address=address, limit=limit)
+        self._by_server[key] = pool
+        return pool
+
+    def _retire(self, key: ServerKey) -> None:
+        pool = self._by_server.pop(key)
+        pool.retired = True
+        if pool.in_use == 0:
+            self._close(pool)
+
+    def _close(self, pool: Pool) -> None:
+        task = asyncio.get_running_loop().create_task(pool.close_if_idle())
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+
+
+def _session(limit: int) -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=limit, keepalive_timeout=IDLE_SECONDS),
+        request_class=FencedRequest,
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        skip_auto_headers=('User-Agent', 'Accept', 'Accept-Encoding', 'Content-Type'),
+        max_line_size=MAX_ANSWER_FIELD_BYTES,
+        max_field_size=MAX_ANSWER_FIELD_BYTES,
+        read_bufsize=READ_CHUNK_BYTES,
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
+    )
--- a/packages/daisylift-node/src/daisylift_node/process/application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/application.py
@@ -1,6 +1,8 @@
 """The application: owns every component, starts them, and cleans up after them."""
 
+import random
 import secrets
+import time
 from typing import Protocol
 
 from aiohttp import web
@@ -10,21 +12,25 @@
 
 from daisylift.decisions.configuration import Configuration
 from daisylift_node.config import ListenSettings, Settings
+from daisylift_node.connection.caller import caller_server
 from daisylift_node.connection.upstream import UpstreamConnections
 from daisylift_node.errors import StartError
+from daisylift_node.process.health import HealthBook
 from daisylift_node.process.members import Members
 from daisylift_node.process.metrics import Metrics
 from daisylift_node.process.operator import OperatorService
 from daisylift_node.process.permits import PermitPool
 from daisylift_node.process.platform import PlatformClient
 from daisylift_node.process.timer import TimerService
+from daisylift_node.request.admission import Admission
+from daisylift_node.request.exchange import Exchange
+from daisylift_node.request.guard import OpenGuard
 from daisylift_node.request.lookup import LookupHandler
 from daisylift_node.request.relay import RelayHandler
 from daisylift_node.version.configuration import ConfigurationFollower
 
 INCARNATION_BYTES = 8
 MEMBERS_PERIOD_SECONDS = 1.0
-MAX_HEADER_BYTES = 16 * 1024
 
 
 class Component(Protocol):
@@ -50,7 +56,22 @@
         self.follower = ConfigurationFollower(self.platform, self.metrics)
         self.members = Members(settings, self.incarnation, self.platform)
         self.permits = PermitPool()
-        self._runners: list[web.AppRunner] = []
+        self.health = HealthBook()
+        self.admission = Admission(
+            failure_domain=settings.vm.failure_domain,
+            permits=self.permits,
+            health=self.health,
+            clock=time.monotonic,
+            random=random.Random(self.incarnation).random,
+        )
+        self.relay = RelayHandler(
+            guard=OpenGuard(),
+            admission=self.admission,
+            exchange=Exchange(self.connections, self.health, time.monotonic),
+            metrics=self.metrics,
+            clock=time.monotonic,
+        )
+        self._runners: list[web.BaseRunner] = []
         self._operator_server: Server | None = None
         self._components: tuple[Component, ...] = (
             self.platform,
@@ -66,8 +87,11 @@
             await component.start()
         await self._refresh_members()
         self.timer.subscribe(MEMBERS_PERIOD_SECONDS, self._refresh_members)
-        await self._listen(self._caller_application(), self.settings.caller)
-        await self._listen(self._operations_application(), self.settings.operations)
+        lookup = LookupHandler(self.follower, self.members, self.metrics)
+        caller = web.ServerRunner(caller_server(lookup.handle, self.relay.handle))
+        await self._listen(caller, self.settings.caller)
+        operations = web.AppRunner(self._operations_application(), access_log=None)
+        await self._listen(operations, self.settings.operations)
         await self._listen_for_operators()
         logger.info('{} is up', self.settings.vm.id)
 
@@ -88,23 +112,16 @@
 
     def _on_configuration(self, configuration: Configuration) -> None:
         self.permits.set_configuration(configuration)
+        self.health.set_configuration(configuration, time.monotonic())
+        self.admission.set_configuration(configuration)
+        self.relay.set_configuration(configuration)
+        self.connections.keep_only(self.health.by_server)
 
     async def _refresh_members(self) -> None:
         await self.members.refresh(self.follower.current)
         if self.members.own is not None:
             self.permits.set_ordinal(self.members.own.ordinal)
-
-    def _caller_application(self) -> web.Application:
-        lookup = LookupHandler(self.follower, self.members, self.metrics)
-        relay = RelayHandler(
-            self.settings, self.follower, self.permits, self.connections, self.metrics
-        )
-        application = web.Application()
-        application.router.add_get('/v1/lookup', lookup.handle)
-        application.router.add_route(
-            '*', '/v1/services/{service}/{path:.*}', relay.handle
-        )
-        return application
+            self.admission.permits_changed()
 
     def _operations_application(self) -> web.Application:
         application = web.Application()
@@ -124,16 +141,7 @@
     async def _metrics(self, _: web.Request) -> web.Response:
         return web.Response(body=generate_latest(self.metrics.registry))
 
-    async def _listen(
-        self, application: web.Application, address: ListenSettings
-    ) -> None:
-        runner = web.AppRunner(
-            application,
-            access_log=None,
-            handler_cancellation=True,
-            max_field_size=MAX_HEADER_BYTES,
-            max_line_size=MAX_HEADER_BYTES,
-        )
+    async def _listen(self, runner: web.BaseRunner, address: ListenSettings) -> None:
         await runner.setup()
         self._runners.append(runner)
         try:
--- a/packages/daisylift-node/src/daisylift_node/process/metrics.py
+++ b/packages/daisylift-node/src/daisylift_node/process/metrics.py
@@ -43,8 +43,8 @@
         )
         self.retries = Counter(
             'daisylift_retries',
-            'Repeated attempts by service and reason.',
-            ['service', 'reason'],
+            'Failed tries by service, reason, and whether another was granted.',
+            ['service', 'reason', 'verdict'],
             registry=self.registry,
         )
         self.platform_calls = Counter(
--- a/packages/daisylift-node/src/daisylift_node/process/permits.py
+++ b/packages/daisylift-node/src/daisylift_node/process/permits.py
@@ -12,6 +12,10 @@
     server: ServerKey
     slot: int
 
+    def may_start(self, now: float) -> bool:
+        """Say whether work may still be started on the permit."""
+        return True
+
 
 class PermitPool:
     """Hands out the permits that belong to this node's ordinal."""
@@ -54,7 +58,7 @@
         self._used.add(permit)
         return permit
 
-    def release(self, permit: Permit) -> None:
+    def release(self, permit: Permit, in_doubt: bool = False) -> None:
         """Give a permit back after its request has ended."""
         self._used.discard(permit)
         self.set_configuration(self._configuration)
--- /dev/null
+++ b/packages/daisylift-node/src/daisylift_node/request/admission.py
@@ -0,0 +1,278 @@
+"""Admission: a request gets a backend server and a permit, or waits its turn."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from returns.result import Failure, Result, Success
+
+from daisylift.decisions.configuration import Configuration, ServerKey
+from daisylift.decisions.routing import (
+    NOWHERE,
+    Random,
+    RoutedServer,
+    RoutingTable,
+)
+from daisylift.models import BackendServer, Policy, Service
+from daisylift_node.process.health import HealthBook
+from daisylift_node.process.permits import Permit, PermitPool
+from daisylift_node.request.call import Call
+from daisylift_node.request.problem import Reason
+
+MAX_WAITING = 512
+RECHECK_SECONDS = 0.02
+
+Clock = Callable[[], float]
+ClosedRegions = Callable[[], frozenset[str]]
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """One try of a request at one backend server."""
+
+    key: ServerKey
+    server: BackendServer
+    region: str
+    permit: Permit
+    connections: int
+
+
+@dataclass(slots=True)
+class Waiter:
+    """A request that waits for a permit."""
+
+    future: asyncio.Future[Attempt | None]
+    excluded: frozenset[str]
+
+
+@dataclass(slots=True)
+class ServiceQueue:
+    """The routing table of a service and the requests that wait, oldest first."""
+
+    service: Service
+    table: RoutingTable = field(default_factory=RoutingTable)
+    servers_by_name: dict[str, BackendServer] = field(default_factory=dict)
+    waiting: dict[int, Waiter] = field(default_factory=dict)
+    recheck: asyncio.TimerHandle | None = None
+
+
+class Admission:
+    """Hands out attempts; the longest waiting request is served first."""
+
+    def __init__(
+        self,
+        failure_domain: str,
+        permits: PermitPool,
+        health: HealthBook,
+        clock: Clock,
+        random: Random,
+        closed_regions: ClosedRegions = lambda: NOWHERE,
+    ) -> None:
+        self._failure_domain = failure_domain
+        self._permits = permits
+        self._health = health
+        self._clock = clock
+        self._random = random
+        self._closed_regions = closed_regions
+        self._queues: dict[str, ServiceQueue] = {}
+        self._next_number = 0
+        health.subscribe(self.server_changed)
+
+    def set_configuration(self, configuration: Configuration) -> None:
+        """Take on the servers of a configuration."""
+        policy = configuration.policy
+        before, self._queues = self._queues, {}
+        for service in policy.services:
+            queue = before.pop(service.name, None) or ServiceQueue(service)
+            self._fill(queue, service, configuration)
+            self._queues[service.name] = queue
+        for queue in before.values():
+            _dismiss(queue)
+        for queue in self._queues.values():
+            self._serve(queue)
+
+    def server_changed(self, key: ServerKey) -> None:
+        """Look at a server again, and serve those who wait for one."""
+        queue = self._queues.get(key.service)
+        if queue is None:
+            return
+        server = queue.table.by_name.get(key.server)
+        if server is None:
+            return
+        server.free = self._permits.free_slots(key)
+        queue.table.changed(server)
+        self._serve(queue)
+
+    def permits_changed(self) -> None:
+        """Count all free permits again, and serve those who wait."""
+        for queue in self._queues.values():
+            self._count_free(queue)
+            self._serve(queue)
+
+    async def admit(
+        self, call: Call, excluded: frozenset[str] = NOWHERE
+    ) -> Result[Attempt, Reason]:
+        """Return an attempt, waiting for one within the service's queue timeout."""
+        queue = self._queues.get(call.service.name)
+        if queue is None:
+            return Failure(Reason.UNKNOWN_SERVICE)
+        now = self._clock()
+        if call.deadline.has_passed(now):
+            return Failure(Reason.DEADLINE_PASSED)
+        if len(excluded) >= len(queue.table.by_name):
+            excluded = NOWHERE
+        if not queue.waiting:
+            attempt = self._take(queue, excluded)
+            if attempt is not None:
+                return Success(attempt)
+        if len(queue.waiting) >= MAX_WAITING:
+            return Failure(Reason.QUEUE_FULL)
+        give_up = call.deadline.earlier(call.service.queue_timeout_seconds, now)
+        attempt = await self._wait(queue, excluded, give_up.at)
+        if attempt is not None:
+            return Success(attempt)
+        if call.deadline.has_passed(self._clock()):
+            return Failure(Reason.DEADLINE_PASSED)
+        return Failure(self._why_none(queue))
+
+    def release(self, attempt: Attempt, in_doubt: bool) -> None:
+        """Give the attempt's permit back; in doubt, its work may still be running."""
+        self._permits.release(attempt.permit, in_doubt=in_doubt)
+        queue = self._queues.get(attempt.key.service)
+        if queue is None:
+            return
+        server = queue.table.by_name.get(attempt.key.server)
+        if server is not None:
+            server.in_flight -= 1
+        self.server_changed(attempt.key)
+
+    def waiting(self, service: str) -> int:
+        """Return how many requests of the service wait."""
+        queue = self._queues.get(service)
+        return len(queue.waiting) if queue is not None else 0
+
+    async def _wait(
+        self, queue: ServiceQueue, excluded: frozenset[str], until: float
+    ) -> Attempt | None:
+        loop = asyncio.get_running_loop()
+        waiter = Waiter(future=loop.create_future(), excluded=excluded)
+        number = self._next_number
+        self._next_number += 1
+        queue.waiting[number] = waiter
+        expiry = loop.call_later(until - self._clock(), _settle, waiter, None)
+        self._recheck_later(queue)
+        try:
+            return await waiter.future
+        except asyncio.CancelledError:
+            self._give_back(waiter)
+            raise
+        finally:
+            expiry.cancel()
+            queue.waiting.pop(number, None)
+
+    def _give_back(self, waiter: Waiter) -> None:
+        """Release what a waiter was given in the moment its caller went away."""
+        if waiter.future.cancelled() or not waiter.future.done():
+            return
+        attempt = waiter.future.result()
+        if attempt is not None:
+            self.release(attempt, in_doubt=False)
+
+    def _serve(self, queue: ServiceQueue) -> None:
+        """Give permits to those who wait, the longest waiting first."""
+        for number, waiter in list(queue.waiting.items()):
+            if waiter.future.done():
+                continue
+            attempt = self._take(queue, waiter.excluded)
+            if attempt is not None:
+                del queue.waiting[number]
+                _settle(waiter, attempt)
+            elif not waiter.excluded:
+                return
+
+    def _take(self, queue: ServiceQueue, excluded: frozenset[str]) -> Attempt | None:
+        closed = self._closed_regions()
+        server = queue.table.choose(self._clock(), self._random, excluded, closed)
+        if server is None:
+            return None
+        key = ServerKey(service=queue.service.name, server=server.name)
+        permit = self._permits.take(key)
+        server.free = self._permits.free_slots(key)
+        if permit is not None:
+            server.in_flight += 1
+        queue.table.changed(server)
+        if permit is None:
+            return None
+        return Attempt(
+            key=key,
+            server=queue.servers_by_name[server.name],
+            region=server.region,
+            permit=permit,
+            connections=server.connections,
+        )
+
+    def _recheck_later(self, queue: ServiceQueue) -> None:
+        """Look again soon: room also grows by time, without an event."""
+        if queue.recheck is None:
+            loop = asyncio.get_running_loop()
+            queue.recheck = loop.call_later(RECHECK_SECONDS, self._recheck, queue)
+
+    def _recheck(self, queue: ServiceQueue) -> None:
+        queue.recheck = None
+        if not queue.waiting:
+            return
+        self._count_free(queue)
+        self._serve(queue)
+        self._recheck_later(queue)
+
+    def _count_free(self, queue: ServiceQueue) -> None:
+        for server in queue.table.by_name.values():
+            key = ServerKey(service=queue.service.name, server=server.name)
+            server.free = self._permits.free_slots(key)
+            queue.table.changed(server)
+
+    def _fill(
+        self, queue: ServiceQueue, service: Service, configuration: Configuration
+    ) -> None:
+        in_flight = {s.name: s.in_flight for s in queue.table.by_name.values()}
+        regions = configuration.policy.regions_by_failure_domain()
+        queue.service = service
+        queue.servers_by_name = {server.name: server for server in service.servers}
+        routed = []
+        for server in service.servers:
+            key = ServerKey(service=service.name, server=server.name)
+            one = RoutedServer(
+                name=server.name,
+                region=regions[server.failure_domain],
+                distance=self._distance(server.failure_domain, configuration.policy),
+                connections=server.connections,
+                health=self._health.by_server[key],
+                free=self._permits.free_slots(key),
+                in_flight=in_flight.get(server.name, 0),
+                draining=key in configuration.draining,
+            )
+            routed.append(one)
+        queue.table.replace(routed)
+
+    def _distance(self, failure_domain: str, policy: Policy) -> int:
+        own = self._failure_domain
+        if failure_domain == own:
+            return 0
+        regions = policy.regions_by_failure_domain()
+        return 1 if regions.get(failure_domain) == regions.get(own) else 2
+
+    def _why_none(self, queue: ServiceQueue) -> Reason:
+        closed = self._closed_regions()
+        if any(s.free and s.region in closed for s in queue.table.by_name.values()):
+            return Reason.LINK_SPENT
+        return Reason.NO_FREE_SLOT
+
+
+def _settle(waiter: Waiter, attempt: Attempt | None) -> None:
+    if not waiter.future.done():
+        waiter.future.set_result(attempt)
+
+
+def _dismiss(queue: ServiceQueue) -> None:
+    for waiter in queue.waiting.values():
+        _settle(waiter, None)
--- /dev/null
+++ b/packages/daisylift-node/src/daisylift_node/request/answer.py
@@ -0,0 +1,80 @@
+"""Passes a backend server's answer to the caller, whole or visibly broken off."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+from aiohttp import web
+
+from daisylift import headers
+from daisylift.outcome import Outcome
+from daisylift_node.connection.upstream import READ_CHUNK_BYTES
+from daisylift_node.request.call import Call
+from daisylift_node.request.ending import Answered, BrokenOff, Ending
+from daisylift_node.request.problem import Reason, unknown
+
+INTERNAL_HEADERS = frozenset(
+    name.lower() for name in (headers.LOAD, headers.DRAINING, headers.OUTCOME)
+)
+
+Pace = Callable[[int], Awaitable[None]]
+
+
+async def pass_answer(
+    call: Call, upstream: aiohttp.ClientResponse, outcome: Outcome, pace: Pace
+) -> Ending:
+    """Stream the answer; cut the caller's connection when it can't be ended."""
+    answer = _head(upstream, outcome)
+    if call.recorder is not None:
+        call.recorder.begin(answer.status, answer.headers)
+    try:
+        await answer.prepare(call.request)
+        await _pass_body(call, upstream, answer, pace)
+        await answer.write_eof()
+    except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        upstream.close()
+        return _broken_off(call, answer, error)
+    except asyncio.CancelledError:
+        upstream.close()
+        _cut(call.request)
+        raise
+    if call.recorder is not None:
+        call.recorder.end()
+    return Answered(answer)
+
+
+async def _pass_body(
+    call: Call,
+    upstream: aiohttp.ClientResponse,
+    answer: web.StreamResponse,
+    pace: Pace,
+) -> None:
+    async for part in upstream.content.iter_chunked(READ_CHUNK_BYTES):
+        await pace(len(part))
+        if call.recorder is not None:
+            call.recorder.write(part)
+        await answer.write(part)
+
+
+def _head(upstream: aiohttp.ClientResponse, outcome: Outcome) -> web.StreamResponse:
+    answer = web.StreamResponse(status=upstream.status, reason=upstream.reason)
+    connection = upstream.headers.getall('Connection', ())
+    for name, value in headers.end_to_end(upstream.headers.items(), connection):
+        if name.lower() not in INTERNAL_HEADERS:
+            answer.headers.add(name, value)
+    answer.headers[headers.OUTCOME] = outcome.value
+    return answer
+
+
+def _broken_off(call: Call, answer: web.StreamResponse, error: Exception) -> BrokenOff:
+    _cut(call.request)
+    reason = Reason.CONNECTION_LOST
+    if isinstance(error, TimeoutError):
+        reason = Reason.DEADLINE_PASSED
+    return BrokenOff(answer, unknown(reason, f'the answer broke off: {error!r}'))
+
+
+def _cut(request: web.BaseRequest) -> None:
+    """Cut the caller's connection, so that a short answer can't pass as whole."""
+    if request.transport is not None:
+        request.transport.abort()
--- /dev/null
+++ b/packages/daisylift-node/src/daisylift_node/request/body.py
@@ -0,0 +1,84 @@
+"""The body of a caller's request: small ones are read ahead, large ones streamed."""
+
+from collections.abc import AsyncIterator
+
+import aiohttp
+from aiohttp import web
+
+READ_AHEAD_BYTES = 64 * 1024
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+
+
+class CallerBodyError(aiohttp.ClientError):
+    """The caller's body ended short or could not be read."""
+
+
+class CallerBody:
+    """Reads a body once; can be sent again only while all of it is in memory.
+
+    ``failed`` is set when the caller's side of it broke.
+    """
+
+    def __init__(self, request: web.BaseRequest, expects_continue: bool) -> None:
+        self.failed = False
+        self.head = b''
+        self._request = request
+        self._whole = not request.can_read_body
+        self._expects_continue = expects_continue
+        self._streamed = False
+
+    @property
+    def is_empty(self) -> bool:
+        """Say whether there is no body at all."""
+        return self._whole and not self.head
+
+    @property
+    def is_replayable(self) -> bool:
+        """Say whether the body can be sent, or sent again, as a whole."""
+        return not self._streamed
+
+    async def read_ahead(self) -> None:
+        """Read up to READ_AHEAD_BYTES; raise CallerBodyError when that fails."""
+        if self._whole:
+            return
+        await self._continue()
+        parts = []
+        size = 0
+        while size < READ_AHEAD_BYTES:
+            part = await self._read(READ_AHEAD_BYTES - size)
+            if not part:
+                self._whole = True
+                break
+            parts.append(part)
+            size += len(part)
+        self.head = b''.join(parts)
+        if not self._whole and self._request.content.at_eof():
+            self._whole = True
+
+    def payload(self) -> bytes | AsyncIterator[bytes] | None:
+        """Return what to hand to the HTTP client."""
+        if self._whole:
+            return self.head or None
+        return self._stream()
+
+    async def _stream(self) -> AsyncIterator[bytes]:
+        self._streamed = True
+        yield self.head
+        while part := await self._read(READ_AHEAD_BYTES):
+            yield part
+
+    async def _continue(self) -> None:
+        if not self._expects_continue:
+            return
+        self._expects_continue = False
+        await self._request.writer.write(CONTINUE)
+        self._request.writer.output_size = 0
+
+    async def _read(self, limit: int) -> bytes:
+        content = self._request.content
+        try:
+            part = await content.readany() if limit <= 0 else await content.read(limit)
+        except (aiohttp.ClientError, web.RequestPayloadError, OSError) as error:
+            self.failed = True
+            raise CallerBodyError(repr(error)) from error
+        return part
--- /dev/null
+++ b/packages/daisylift-node/src/daisylift_node/request/call.py
@@ -0,0 +1,115 @@
+"""One request of a caller, checked at the border."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Protocol
+
+from aiohttp import web
+from returns.result import Failure, Result, Success
+
+from daisylift import headers
+from daisylift.decisions.deadlines import Deadline, take_deadline
+from daisylift.models import Service
+from daisylift_node.request.body import CallerBody
+from daisylift_node.request.problem import Reason, Refusal, did_not_run
+
+SERVICES_PREFIX = '/v1/services/'
+MAX_TARGET_BYTES = 8 * 1024
+
+
+class AnswerRecorder(Protocol):
+    """Is shown an answer while it goes to the caller."""
+
+    def begin(self, status: int, fields: Mapping[str, str]) -> None:
+        """Note the status and the headers."""
+
+    def write(self, part: bytes) -> None:
+        """Note a part of the body."""
+
+    def end(self) -> None:
+        """Note that the answer is whole."""
+
+
+@dataclass(slots=True)
+class Call:
+    """A checked request on its way through the node.
+
+    ``target`` is the path and query for the backend server, byte for byte as the
+    caller wrote them.
+    """
+
+    request: web.BaseRequest
+    service: Service
+    target: str
+    deadline: Deadline
+    body: CallerBody
+    forwarded: bool = False
+    recorder: AnswerRecorder | None = None
+
+    @property
+    def method(self) -> str:
+        """Return the method."""
+        return self.request.method
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Say whether the service allows this request to run more than once."""
+        return self.request.method in self.service.idempotent_methods
+
+    @property
+    def idempotency_key(self) -> str | None:
+        """Return the caller's own key, if it sent one."""
+        return self.request.headers.get(headers.IDEMPOTENCY_KEY)
+
+    @property
+    def request_id(self) -> str | None:
+        """Return the request id that a node issued, if the caller sent one."""
+        return self.request.headers.get(headers.REQUEST_ID)
+
+
+def check_call(
+    request: web.BaseRequest, services: Mapping[str, Service], now: float
+) -> Result[Call, Refusal]:
+    """Return the call of a request below SERVICES_PREFIX, or why it is refused."""
+    name, slash, path = request.raw_path.removeprefix(SERVICES_PREFIX).partition('/')
+    service = services.get(name)
+    if not slash or service is None:
+        refusal = did_not_run(Reason.UNKNOWN_SERVICE, f'unknown service {name[:64]!r}')
+        return Failure(refusal)
+    refusal = _refuse_unusable(request, path)
+    if refusal is not None:
+        return Failure(refusal)
+    value = request.headers.get(headers.TIMEOUT_MS)
+    match take_deadline(value, service.timeout_seconds, now):
+        case Failure(bad):
+            detail = f'{headers.TIMEOUT_MS} must be whole milliseconds, not '
+            return Failure(did_not_run(Reason.BAD_TIMEOUT, f'{detail}{bad.value!r}'))
+        case Success(deadline):
+            return Success(_call(request, service, f'/{path}', deadline))
+
+
+def _call(
+    request: web.BaseRequest, service: Service, target: str, deadline: Deadline
+) -> Call:
+    expects_continue = 'Expect' in request.headers
+    return Call(
+        request=request,
+        service=service,
+        target=target,
+        deadline=deadline,
+        body=CallerBody(request, expects_continue),
+        forwarded=headers.FORWARDED in request.headers,
+    )
+
+
+def _refuse_unusable(request: web.BaseRequest, path: str) -> Refusal | None:
+    if request.method == 'CONNECT':
+        return did_not_run(Reason.METHOD_NOT_ALLOWED, 'CONNECT is not served')
+    if headers.wants_upgrade(request.headers):
+        return did_not_run(Reason.UPGRADE_REFUSED, 'no other protocol is served here')
+    if '#' in path or len(path) > MAX_TARGET_BYTES:
+        return did_not_run(Reason.BAD_REQUEST, 'the path has a fragment or is too long')
+    expect = request.headers.get('Expect')
+    if expect is not None and expect.lower() != '100-continue':
+        return did_not_run(Reason.EXPECTATION_FAILED, f'can not meet {expect!r}')
+    return None
--- /dev/null
+++ b/packages/daisylift-node/src/daisylift_node/request/exchange.py
@@ -0,0 +1,157 @@
+"""One try of a call at one backend server."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import aiohttp
+from multidict import CIMultiDict
+from yarl import URL
+
+from daisylift import headers
+from daisylift.outcome import Outcome
+from daisylift_node.connection.send_once import SendOnce
+from daisylift_node.connection.upstream import (
+    Dispatch,
+    DispatchRefusedError,
+    UpstreamConnections,
+)
+from daisylift_node.process.health import HealthBook
+from daisylift_node.request.admission import Attempt
+from daisylift_node.request.answer import Pace, pass_answer
+from daisylift_node.request.call import Call
+from daisylift_node.request.ending import Answered, BrokenOff, Ending, Refused
+from daisylift_node.request.problem import Reason, did_not_run, unknown
+
+SERVICE_UNAVAILABLE = 503
+SLOW_SHARE = 0.5
+
+Clock = Callable[[], float]
+
+
+async def _no_pace(_: int) -> None:
+    return
+
+
+@dataclass(frozen=True, slots=True)
+class Exchange:
+    """Sends calls to backend servers and judges what became of them."""
+
+    connections: UpstreamConnections
+    health: HealthBook
+    clock: Clock
+
+    async def run(self, call: Call, attempt: Attempt, pace: Pace = _no_pace) -> Ending:
+        """Send the call once; whatever ends in doubt has its connection closed."""
+        dispatch = Dispatch(lambda: self._may_start(call, attempt))
+        started_at = self.clock()
+        try:
+            async with asyncio.timeout_at(call.deadline.at):
+                return await self._send(call, attempt, dispatch, pace)
+        except TimeoutError:
+            self._note_timeout(call, attempt, started_at)
+            return _late(dispatch)
+        except DispatchRefusedError as error:
+            return Refused(did_not_run(Reason.PERMIT_LAPSED, str(error)))
+        except (aiohttp.ClientError, OSError) as error:
+            return self._broken(call, attempt, dispatch, error)
+
+    async def _send(
+        self, call: Call, attempt: Attempt, dispatch: Dispatch, pace: Pace
+    ) -> Ending:
+        started_at = self.clock()
+        lease = self.connections.lease(attempt.key, attempt.server, attempt.connections)
+        with lease as session:
+            async with session.request(
+                call.method,
+                _url(call, attempt),
+                headers=_fields(call, started_at),
+                data=call.body.payload(),
+                allow_redirects=False,
+                middlewares=(SendOnce(), dispatch),
+            ) as upstream:
+                now = self.clock()
+                seconds = now - started_at
+                fields = upstream.headers
+                status = upstream.status
+                self.health.answered(attempt.key, status, fields, seconds, now)
+                if _refused_before_running(upstream):
+                    refusal = did_not_run(
+                        Reason.SERVER_REFUSED, 'the backend server took nothing on'
+                    )
+                    return Refused(refusal, reached_server=True)
+                ending = await pass_answer(call, upstream, Outcome.ANSWERED, pace)
+        if isinstance(ending, BrokenOff):
+            self.health.failed(attempt.key, self.clock())
+        return ending
+
+    def _may_start(self, call: Call, attempt: Attempt) -> bool:
+        now = self.clock()
+        return not call.deadline.has_passed(now) and attempt.permit.may_start(now)
+
+    def _note_timeout(self, call: Call, attempt: Attempt, started_at: float) -> None:
+        """Count a timeout only when the server was given a fair share of time."""
+        now = self.clock()
+        if now - started_at >= call.service.timeout_seconds * SLOW_SHARE:
+            self.health.failed(attempt.key, now)
+
+    def _broken(
+        self, call: Call, attempt: Attempt, dispatch: Dispatch, error: Exception
+    ) -> Refused:
+        if call.body.failed:
+            detail = 'the body of the request ended short'
+            if dispatch.has_left:
+                return Refused(unknown(Reason.BAD_BODY, detail), reached_server=True)
+            return Refused(did_not_run(Reason.BAD_BODY, detail))
+        self.health.failed(attempt.key, self.clock())
+        if not dispatch.has_left:
+            return Refused(did_not_run(Reason.CONNECT_FAILED, repr(error)))
+        return Refused(
+            unknown(Reason.CONNECTION_LOST, repr(error)),
+            reached_server=True,
+            broke_connection=True,
+        )
+
+
+def ended_in_doubt(ending: Ending) -> bool:
+    """Say whether work for the call may still be running at the backend server."""
+    match ending:
+        case Answered():
+            return False
+        case BrokenOff():
+            return True
+        case Refused(refusal=refusal):
+            return refusal.outcome is not Outcome.DID_NOT_RUN
+
+
+def _late(dispatch: Dispatch) -> Refused:
+    if dispatch.has_left:
+        refusal = unknown(Reason.DEADLINE_PASSED, 'no answer before the deadline')
+        return Refused(refusal, reached_server=True)
+    return Refused(did_not_run(Reason.DEADLINE_PASSED, 'too late to send the request'))
+
+
+def _refused_before_running(upstream: aiohttp.ClientResponse) -> bool:
+    outcome = upstream.headers.get(headers.OUTCOME)
+    said_so = outcome == Outcome.DID_NOT_RUN.value
+    return upstream.status == SERVICE_UNAVAILABLE and said_so
+
+
+def _url(call: Call, attempt: Attempt) -> URL:
+    host = attempt.server.host
+    authority = f'[{host}]' if ':' in host else host
+    url = f'http://{authority}:{attempt.server.port}{call.target}'
+    return URL(url, encoded=True)
+
+
+def _fields(call: Call, now: float) -> CIMultiDict[str]:
+    """Return the headers for the backend server; Host stays the caller's."""
+    request = call.request
+    connection = request.headers.getall('Connection', ())
+    fields = CIMultiDict(headers.end_to_end(request.headers.items(), connection))
+    for name in ('Expect', headers.FORWARDED, headers.TIMEOUT_MS, headers.OUTCOME):
+        fields.popall(name, None)
+    before = fields.popall(headers.FORWARDED_FOR, [])
+    fields[headers.FORWARDED_FOR] = ', '.join([*before, request.remote or 'unknown'])
+    fields[headers.TIMEOUT_MS] = call.deadline.header(now)
+    return fields
--- a/packages/daisylift-node/src/daisylift_node/request/lookup.py
+++ b/packages/daisylift-node/src/daisylift_node/request/lookup.py
@@ -19,7 +19,7 @@
         self._members = members
         self._metrics = metrics
 
-    async def handle(self, request: web.Request) -> web.Response:
+    async def handle(self, request: web.BaseRequest) -> web.Response:
         """Answer ``GET /v1/lookup?service=S&client=IP``."""
         name = request.query.get('service', '')
         service = self._follower.current.policy.services_by_name().get(name)
--- a/packages/daisylift-node/src/daisylift_node/request/problem.py
+++ b/packages/daisylift-node/src/daisylift_node/request/problem.py
@@ -10,32 +10,69 @@
 from daisylift.outcome import Outcome
 
 PROBLEM_CONTENT_TYPE = 'application/problem+json'
+RETRY_AFTER_SECONDS = 1
 
 
 class Reason(enum.Enum):
     """Why a request was refused or got no whole answer."""
 
+    UNKNOWN_PATH = 'unknown-path'
     UNKNOWN_SERVICE = 'unknown-service'
+    METHOD_NOT_ALLOWED = 'method-not-allowed'
     BAD_REQUEST = 'bad-request'
+    BAD_TIMEOUT = 'bad-timeout'
+    BAD_BODY = 'bad-body'
+    HEADERS_TOO_LARGE = 'headers-too-large'
+    EXPECTATION_FAILED = 'expectation-failed'
+    UPGRADE_REFUSED = 'upgrade-refused'
     NOT_READY = 'not-ready'
     NO_FREE_SLOT = 'no-free-slot'
+    QUEUE_FULL = 'queue-full'
+    LINK_SPENT = 'link-spent'
+    PERMIT_LAPSED = 'permit-lapsed'
     CONNECT_FAILED = 'connect-failed'
     DEADLINE_PASSED = 'deadline-passed'
     SERVER_REFUSED = 'server-refused'
     CONNECTION_LOST = 'connection-lost'
+    BREAKS_SERVERS = 'breaks-servers'
+    INTERNAL = 'internal-error'
 
 
 STATUS_BY_REASON = {
+    Reason.UNKNOWN_PATH: 404,
     Reason.UNKNOWN_SERVICE: 404,
+    Reason.METHOD_NOT_ALLOWED: 405,
     Reason.BAD_REQUEST: 400,
+    Reason.BAD_TIMEOUT: 400,
+    Reason.BAD_BODY: 400,
+    Reason.HEADERS_TOO_LARGE: 431,
+    Reason.EXPECTATION_FAILED: 417,
+    Reason.UPGRADE_REFUSED: 501,
     Reason.NOT_READY: 503,
     Reason.NO_FREE_SLOT: 503,
+    Reason.QUEUE_FULL: 503,
+    Reason.LINK_SPENT: 503,
+    Reason.PERMIT_LAPSED: 503,
     Reason.CONNECT_FAILED: 502,
     Reason.DEADLINE_PASSED: 504,
     Reason.SERVER_REFUSED: 503,
     Reason.CONNECTION_LOST: 502,
+    Reason.BREAKS_SERVERS: 422,
+    Reason.INTERNAL: 500,
 }
 
+PASSING_REASONS = frozenset(
+    {
+        Reason.NOT_READY,
+        Reason.NO_FREE_SLOT,
+        Reason.QUEUE_FULL,
+        Reason.LINK_SPENT,
+        Reason.PERMIT_LAPSED,
+        Reason.CONNECT_FAILED,
+        Reason.SERVER_REFUSED,
+    }
+)
+
 
 @dataclass(frozen=True, slots=True)
 class Refusal:
@@ -48,6 +85,21 @@
     other_vms: tuple[str, ...] = ()
 
 
+def did_not_run(reason: Reason, detail: str) -> Refusal:
+    """Return the refusal of a request that certainly did not run."""
+    return Refusal(
+        reason=reason,
+        outcome=Outcome.DID_NOT_RUN,
+        detail=detail,
+        retry_after_seconds=RETRY_AFTER_SECONDS if reason in PASSING_REASONS else None,
+    )
+
+
+def unknown(reason: Reason, detail: str) -> Refusal:
+    """Return the refusal of a request that may have run."""
+    return Refusal(reason=reason, outcome=Outcome.UNKNOWN, detail=detail)
+
+
 def refusal_response(refusal: Refusal) -> web.Response:
     """Return the refusal as status, headers and a machine-readable body."""
     status = STATUS_BY_REASON[refusal.reason]
--- a/packages/daisylift/src/daisylift/decisions/routing.py
+++ b/packages/daisylift/src/daisylift/decisions/routing.py
@@ -1,24 +1,189 @@
-"""The choice of a backend server for one request."""
+"""The choice of a backend server for one request.
 
-from collections.abc import Sequence
-from dataclasses import dataclass
+A table has the servers of one service at which this node holds a free permit, in
+groups by distance. A choice looks at a few of each group and compares what each is
+expected to take, so its cost does not grow with the number of servers. Servers that
+can't be used for a while are parked until a moment or an event.
+"""
 
+import heapq
+import math
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
 
-@dataclass(frozen=True, slots=True)
-class Candidate:
-    """A backend server as seen at the moment of choice.
+from daisylift.decisions.health import ServerHealth
 
-    ``distance`` is 0 in the node's own failure domain, 1 in its region, 2 elsewhere.
+SAMPLE = 4
+EQUAL_FITNESS = 1.5
+RECHECK_SECONDS = 0.05
+DISTANCE_SECONDS = (0.002, 0.004, 0.042)
+WORK_SECONDS = 0.02
+
+NOWHERE: frozenset[str] = frozenset()
+
+Random = Callable[[], float]
+
+
+@dataclass(slots=True)
+class RoutedServer:
+    """One backend server as the table sees it.
+
+    ``distance`` is 0 in the node's own failure domain, 1 in its region, 2 elsewhere;
+    ``free`` and ``in_flight`` count this node's permits; ``position`` is its place in
+    its group, below 0 when it is in none; ``due`` is when its parking is looked at.
     """
 
-    server: str
+    name: str
+    region: str
+    distance: int
+    connections: int
+    health: ServerHealth
+    free: int = 0
+    in_flight: int = 0
+    draining: bool = False
+    position: int = -1
+    due: float = math.inf
+
+    def has_room(self, now: float) -> bool:
+        """Say whether one more request may be sent there now."""
+        if self.free <= 0 or self.draining or self.in_flight >= self.connections:
+            return False
+        held = self.free + self.in_flight
+        return self.in_flight < self.health.usable_slots(held, now)
+
+    def expected_seconds(self, now: float) -> float:
+        """Return about how long a request would take there."""
+        usual = WORK_SECONDS + DISTANCE_SECONDS[self.distance]
+        latency = self.health.expected_latency(usual, now)
+        own = self.in_flight / (self.free + self.in_flight)
+        report = self.health.report
+        reported = report.utilisation(now) if report is not None else 0.0
+        return latency * (1.0 + max(own, reported))
+
+
+@dataclass(slots=True)
+class _Group:
+    """The usable servers of one region at one distance."""
+
     distance: int
-    free_slots: int
+    region: str
+    members: list[RoutedServer] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class RoutingTable:
+    """The servers of one service, keyed by name and indexed for the choice."""
+
+    by_name: dict[str, RoutedServer] = field(default_factory=dict)
+    _groups: dict[tuple[int, str], _Group] = field(default_factory=dict)
+    _parked: list[tuple[float, str]] = field(default_factory=list)
+
+    def replace(self, servers: Iterable[RoutedServer]) -> None:
+        """Take on other servers."""
+        self.by_name = {server.name: server for server in servers}
+        keys = {(s.distance, s.region) for s in self.by_name.values()}
+        self._groups = {key: _Group(*key) for key in sorted(keys)}
+        self._parked = []
+        for server in self.by_name.values():
+            server.position = -1
+            server.due = math.inf
+            self.changed(server)
+
+    def changed(self, server: RoutedServer) -> None:
+        """Index the server anew after its counts or its health changed."""
+        if server.free > 0 and not server.draining:
+            self._include(server)
+        else:
+            self._exclude(server)
+
+    def choose(
+        self,
+        now: float,
+        random: Random,
+        excluded: frozenset[str] = NOWHERE,
+        closed_regions: frozenset[str] = NOWHERE,
+    ) -> RoutedServer | None:
+        """Return a server with room, or None.
+
+        The nearest wins unless one farther away is expected to be clearly faster.
+        Servers named in ``excluded`` and all of ``closed_regions`` are passed over.
+        """
+        self._unpark(now)
+        best: RoutedServer | None = None
+        best_seconds = 0.0
+        for group in self._groups.values():
+            least_seconds = DISTANCE_SECONDS[group.distance] * EQUAL_FITNESS
+            if best is not None and best_seconds <= least_seconds:
+                break
+            if group.region in closed_regions:
+                continue
+            found = self._best_of(group.members, now, random, excluded)
+            if found is None:
+                continue
+            seconds = found.expected_seconds(now)
+            if best is None or seconds * EQUAL_FITNESS < best_seconds:
+                best, best_seconds = found, seconds
+        return best
+
+    def _best_of(
+        self,
+        members: list[RoutedServer],
+        now: float,
+        random: Random,
+        excluded: frozenset[str],
+    ) -> RoutedServer | None:
+        """Return the best of a sample; those without room are parked on the way."""
+        best: RoutedServer | None = None
+        best_seconds = 0.0
+        start = int(random() * len(members))
+        step = 0
+        wanted = SAMPLE
+        while step < min(wanted, len(members)):
+            server = members[(start + step) % len(members)]
+            if self._park_if_out(server, now):
+                continue
+            step += 1
+            if server.name in excluded:
+                wanted += 1
+                continue
+            seconds = server.expected_seconds(now)
+            if best is None or seconds < best_seconds:
+                best, best_seconds = server, seconds
+        return best
+
+    def _park_if_out(self, server: RoutedServer, now: float) -> bool:
+        until = server.health.out_until()
+        if until <= now:
+            if server.has_room(now):
+                return False
+            until = now + RECHECK_SECONDS
+        self._exclude(server)
+        if until < server.due:
+            server.due = until
+            heapq.heappush(self._parked, (until, server.name))
+        return True
+
+    def _unpark(self, now: float) -> None:
+        while self._parked and self._parked[0][0] <= now:
+            due, name = heapq.heappop(self._parked)
+            server = self.by_name.get(name)
+            if server is not None and server.due == due:
+                server.due = math.inf
+                self.changed(server)
 
+    def _include(self, server: RoutedServer) -> None:
+        if server.position >= 0:
+            return
+        members = self._groups[server.distance, server.region].members
+        server.position = len(members)
+        members.append(server)
 
-def choose_server(candidates: Sequence[Candidate]) -> Candidate | None:
-    """Return the nearest candidate with the most free slots, or None."""
-    usable = [candidate for candidate in candidates if candidate.free_slots > 0]
-    if not usable:
-        return None
-    return min(usable, key=lambda c: (c.distance, -c.free_slots, c.server))
+    def _exclude(self, server: RoutedServer) -> None:
+        if server.position < 0:
+            return
+        members = self._groups[server.distance, server.region].members
+        last = members.pop()
+        if last is not server:
+            members[server.position] = last
+            last.position = server.position
+        server.position = -1
--- a/packages/daisylift/src/daisylift/headers.py
+++ b/packages/daisylift/src/daisylift/headers.py
@@ -1,5 +1,7 @@
 """Names of the HTTP headers that daisylift reads and writes."""
 
+from collections.abc import Iterable, Iterator, Mapping
+
 OUTCOME = 'Daisylift-Outcome'
 TIMEOUT_MS = 'Daisylift-Timeout-Ms'
 REQUEST_ID = 'Daisylift-Request-Id'
@@ -7,6 +9,8 @@
 LOAD = 'Daisylift-Load'
 DRAINING = 'Daisylift-Draining'
 SERVER = 'Daisylift-Server'
+FORWARDED = 'Daisylift-Forwarded'
+FORWARDED_FOR = 'X-Forwarded-For'
 
 HOP_BY_HOP = frozenset(
     {
@@ -14,9 +18,32 @@
         'keep-alive',
         'proxy-authenticate',
         'proxy-authorization',
+        'proxy-connection',
         'te',
         'trailer',
         'transfer-encoding',
         'upgrade',
     }
 )
+
+
+def end_to_end(
+    items: Iterable[tuple[str, str]], connection: Iterable[str]
+) -> Iterator[tuple[str, str]]:
+    """Yield the headers that go beyond one hop.
+
+    ``connection`` has the values of the ``Connection`` header, which may name more
+    headers that belong to the hop alone.
+    """
+    dropped = HOP_BY_HOP | {
+        token.strip().lower() for value in connection for token in value.split(',')
+    }
+    for name, value in items:
+        if name.lower() not in dropped:
+            yield name, value
+
+
+def wants_upgrade(fields: Mapping[str, str]) -> bool:
+    """Say whether the request asks to change the protocol of its connection."""
+    tokens = fields.get('Connection', '').lower().split(',')
+    return 'Upgrade' in fields and 'upgrade' in (token.strip() for token in tokens)
