Prove whole answers and honest outcomes on the callers' port

Cause: nothing provoked short, late, crossed or refused answers, short bodies or bad input. The new tests found: a try at the only server was repeated until the deadline (tries were counted by server); an HTTP/1.0 answer cut short ended with a clean close; a slow upload could wait beyond its deadline; error details named backend servers. Ruled out: telling the handler of a bad chunk that arrives after the head; the library keeps that to itself, so the deadline bounds it, without a permit held for small bodies. Conclusion: a short answer is a reset, every answer has its outcome header.

--- a/packages/daisylift-node/src/daisylift_node/connection/caller.py
+++ b/packages/daisylift-node/src/daisylift_node/connection/caller.py
@@ -20,6 +20,7 @@
 LOOKUP_METHODS = ('GET', 'HEAD')
 MAX_FIELD_BYTES = 16 * 1024
 IDLE_SECONDS = 75.0
+UNREAD_BODY_SECONDS = 1.0
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -75,6 +76,7 @@
         max_field_size=MAX_FIELD_BYTES,
         max_line_size=MAX_FIELD_BYTES,
         keepalive_timeout=IDLE_SECONDS,
+        lingering_time=UNREAD_BODY_SECONDS,
     )
 
 
--- a/packages/daisylift-node/src/daisylift_node/request/answer.py
+++ b/packages/daisylift-node/src/daisylift_node/request/answer.py
@@ -1,6 +1,8 @@
 """Passes a backend server's answer to the caller, whole or visibly broken off."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 
 import aiohttp
@@ -17,6 +19,8 @@
     name.lower() for name in (headers.LOAD, headers.DRAINING, headers.OUTCOME)
 )
 
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+
 Pace = Callable[[int], Awaitable[None]]
 
 
@@ -71,10 +75,20 @@
     reason = Reason.CONNECTION_LOST
     if isinstance(error, TimeoutError):
         reason = Reason.DEADLINE_PASSED
-    return BrokenOff(answer, unknown(reason, f'the answer broke off: {error!r}'))
+    detail = f'the answer broke off: {type(error).__name__}'
+    return BrokenOff(answer, unknown(reason, detail))
 
 
 def _cut(request: web.BaseRequest) -> None:
-    """Cut the caller's connection, so that a short answer can't pass as whole."""
-    if request.transport is not None:
-        request.transport.abort()
+    """Reset the caller's connection, so that a short answer can't pass as whole.
+
+    An HTTP/1.0 answer without a length ends with its connection; only a reset tells
+    the caller that this end is none.
+    """
+    transport = request.transport
+    if transport is None:
+        return
+    connection = transport.get_extra_info('socket')
+    if connection is not None:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    transport.abort()
--- a/packages/daisylift-node/src/daisylift_node/request/exchange.py
+++ b/packages/daisylift-node/src/daisylift_node/request/exchange.py
@@ -105,9 +105,9 @@
             return Refused(did_not_run(Reason.BAD_BODY, detail))
         self.health.failed(attempt.key, self.clock())
         if not dispatch.has_left:
-            return Refused(did_not_run(Reason.CONNECT_FAILED, repr(error)))
+            return Refused(did_not_run(Reason.CONNECT_FAILED, _short(error)))
         return Refused(
-            unknown(Reason.CONNECTION_LOST, repr(error)),
+            unknown(Reason.CONNECTION_LOST, _short(error)),
             reached_server=True,
             broke_connection=True,
         )
@@ -131,6 +131,11 @@
     return Refused(did_not_run(Reason.DEADLINE_PASSED, 'too late to send the request'))
 
 
+def _short(error: Exception) -> str:
+    """Describe the error to a caller without addresses of backend servers."""
+    return f'the backend server failed: {type(error).__name__}'
+
+
 def _refused_before_running(upstream: aiohttp.ClientResponse) -> bool:
     outcome = upstream.headers.get(headers.OUTCOME)
     said_so = outcome == Outcome.DID_NOT_RUN.value
--- a/packages/daisylift-node/src/daisylift_node/request/relay.py
+++ b/packages/daisylift-node/src/daisylift_node/request/relay.py
@@ -1,5 +1,6 @@
 """Takes a call through its stations: check, guard, admission, exchange."""
 
+import asyncio
 from collections.abc import Callable
 
 from aiohttp import web
@@ -35,6 +36,7 @@
 )
 
 NO_SERVICE = ''
+CLOSING_REASONS = frozenset({Reason.UPGRADE_REFUSED, Reason.BAD_BODY})
 
 Clock = Callable[[], float]
 
@@ -92,10 +94,13 @@
 
     async def _run(self, call: Call) -> Ending:
         try:
-            await call.body.read_ahead()
+            async with asyncio.timeout_at(call.deadline.at):
+                await call.body.read_ahead()
         except CallerBodyError:
-            refusal = did_not_run(Reason.BAD_BODY, 'the body ended short')
-            return Refused(refusal)
+            return Refused(did_not_run(Reason.BAD_BODY, 'the body ended short'))
+        except TimeoutError:
+            detail = 'the body was not there before the deadline'
+            return Refused(did_not_run(Reason.DEADLINE_PASSED, detail))
         return await self._guard.run(call, self.serve)
 
     async def serve(self, call: Call) -> Ending:
@@ -106,7 +111,7 @@
         budget.earn()
         tried: frozenset[str] = frozenset()
         last: Refused | None = None
-        may_have_run = 0
+        tries = may_have_run = 0
         while True:
             admitted = await self._admission.admit(call, tried)
             if isinstance(admitted, Failure):
@@ -116,9 +121,10 @@
             if not isinstance(ending, Refused):
                 return ending
             last = _graver(last, ending)
+            tries += 1
             tried |= {attempt.key.server}
             may_have_run += ending.refusal.outcome is not Outcome.DID_NOT_RUN
-            failed = self._failed(call, ending, len(tried), may_have_run)
+            failed = self._failed(call, ending, tries, may_have_run)
             verdict = judge_retry(failed, call.is_idempotent, budget)
             self._count_retry(call, ending, verdict)
             if verdict is not RetryVerdict.GRANTED:
@@ -149,7 +155,10 @@
     def _refuse(self, service: str, refusal: Refusal) -> web.Response:
         self._count_refusal(service, refusal)
         logger.info('refused a request of {!r}: {}', service, refusal.detail)
-        return refusal_response(refusal)
+        response = refusal_response(refusal)
+        if refusal.reason in CLOSING_REASONS:
+            response.force_close()
+        return response
 
     def _count_refusal(self, service: str, refusal: Refusal) -> None:
         self._count(service, refusal.outcome)
--- /dev/null
+++ b/tests/fakes/relay.py
@@ -0,0 +1,196 @@
+"""The callers' port with everything behind it, in the process of the test."""
+
+import random
+import time
+from collections.abc import AsyncIterator, Callable, Iterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+from aiohttp import web
+
+from daisylift.decisions.configuration import Configuration, ServerKey
+from daisylift.models import Policy
+from daisylift_node.connection.caller import caller_server
+from daisylift_node.connection.upstream import UpstreamConnections
+from daisylift_node.process.health import HealthBook
+from daisylift_node.process.metrics import Metrics
+from daisylift_node.request.admission import Admission
+from daisylift_node.request.exchange import Exchange
+from daisylift_node.request.guard import OpenGuard
+from daisylift_node.request.relay import RelayHandler
+from tests.fakes.wire import Script, WireServer
+
+SERVICE = 'till'
+OWN_DOMAIN = 'arusha-1'
+SEED = 3
+
+
+@dataclass(frozen=True, slots=True)
+class FakePermit:
+    """A permit that is good while its pool says so."""
+
+    server: ServerKey
+    slot: int
+    may_start: Callable[[float], bool]
+
+
+@dataclass(slots=True)
+class FakePermits:
+    """So many slots of each server; notes how permits came back."""
+
+    slots: int = 4
+    may_start: bool = True
+    used: dict[ServerKey, set[int]] = field(default_factory=dict)
+    most_used: int = 0
+    in_doubt: list[bool] = field(default_factory=list)
+
+    def free_slots(self, server: ServerKey) -> int:
+        return self.slots - len(self.used.get(server, ()))
+
+    def take(self, server: ServerKey) -> FakePermit | None:
+        used = self.used.setdefault(server, set())
+        free = set(range(self.slots)) - used
+        if not free:
+            return None
+        slot = min(free)
+        used.add(slot)
+        self.most_used = max(self.most_used, len(used))
+        return FakePermit(server, slot, lambda _: self.may_start)
+
+    def release(self, permit: FakePermit, in_doubt: bool = False) -> None:
+        self.used[permit.server].remove(permit.slot)
+        self.in_doubt.append(in_doubt)
+
+
+@dataclass(slots=True)
+class RelayNode:
+    """A relay under test; ``port`` is where callers reach it."""
+
+    port: int
+    permits: FakePermits
+    health: HealthBook
+    admission: Admission
+    relay: RelayHandler
+    metrics: Metrics
+    connections: UpstreamConnections
+    _runner: web.BaseRunner
+
+    @property
+    def url(self) -> str:
+        """Return the URL of the service."""
+        return f'http://127.0.0.1:{self.port}/v1/services/{SERVICE}'
+
+    def configure(self, configuration: Configuration) -> None:
+        """Bring a configuration into force."""
+        self.health.set_configuration(configuration, time.monotonic())
+        self.admission.set_configuration(configuration)
+        self.relay.set_configuration(configuration)
+        self.connections.keep_only(self.health.by_server)
+
+    def counted(self, name: str, **labels: str) -> float:
+        """Return the sum of a counter over the samples with these labels."""
+        return sum(
+            sample.value
+            for metric in self.metrics.registry.collect()
+            for sample in metric.samples
+            if sample.name == name and labels.items() <= sample.labels.items()
+        )
+
+    async def stop(self) -> None:
+        """Stop listening and close all connections."""
+        await self._runner.cleanup()
+        await self.connections.stop()
+
+
+def relay_policy(ports: list[int], **service: Any) -> Policy:
+    """Return a policy of one service with a server on each port."""
+    servers = [
+        {
+            'name': f'{SERVICE}-{number}',
+            'host': '127.0.0.1',
+            'port': port,
+            'failure_domain': OWN_DOMAIN,
+            'slots': 4,
+            'connections': 8,
+        }
+        for number, port in enumerate(ports)
+    ]
+    return Policy.model_validate(
+        {
+            'failure_domains': [
+                {'name': OWN_DOMAIN, 'region': 'arusha'},
+                {'name': 'dar-1', 'region': 'dar'},
+            ],
+            'roster': [{'ordinal': 0, 'failure_domain': OWN_DOMAIN}],
+            'services': [{'name': SERVICE, 'servers': servers, **service}],
+        }
+    )
+
+
+async def start_relay(ports: list[int], **service: Any) -> RelayNode:
+    """Start a relay before servers on these ports."""
+    clock = time.monotonic
+    metrics = Metrics()
+    permits = FakePermits()
+    health = HealthBook()
+    connections = UpstreamConnections()
+    admission = Admission(
+        failure_domain=OWN_DOMAIN,
+        permits=permits,
+        health=health,
+        clock=clock,
+        random=random.Random(SEED).random,
+    )
+    relay = RelayHandler(
+        guard=OpenGuard(),
+        admission=admission,
+        exchange=Exchange(connections, health, clock),
+        metrics=metrics,
+        clock=clock,
+    )
+    runner = web.ServerRunner(
+        caller_server(_no_lookup, relay.handle), shutdown_timeout=0.1
+    )
+    await runner.setup()
+    site = web.TCPSite(runner, '127.0.0.1', 0)
+    await site.start()
+    node = RelayNode(
+        port=next(_ports(runner)),
+        permits=permits,
+        health=health,
+        admission=admission,
+        relay=relay,
+        metrics=metrics,
+        connections=connections,
+        _runner=runner,
+    )
+    policy = relay_policy(ports, **service)
+    node.configure(Configuration(version=1, policy=policy))
+    return node
+
+
+@asynccontextmanager
+async def relay_before(
+    *scripts: Script, **service: Any
+) -> AsyncIterator[tuple[RelayNode, list[WireServer]]]:
+    """Run a relay before one server for each script."""
+    servers = [WireServer(script) for script in scripts]
+    for server in servers:
+        await server.start()
+    node = await start_relay([server.port for server in servers], **service)
+    try:
+        yield node, servers
+    finally:
+        await node.stop()
+        for server in servers:
+            await server.stop()
+
+
+def _ports(runner: web.BaseRunner) -> Iterator[int]:
+    for address in runner.addresses:
+        yield address[1]
+
+
+async def _no_lookup(_: web.BaseRequest) -> web.StreamResponse:
+    return web.json_response({})
--- /dev/null
+++ b/tests/test_relay_faults.py
@@ -0,0 +1,208 @@
+"""Tests of the relay when servers and callers fail (issue 3)."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from tests.fakes.relay import relay_before
+from tests.fakes.wire import (
+    answer_ok,
+    drop,
+    refuse_before_running,
+    send_raw,
+    settled,
+    stay_silent,
+)
+
+CLOSE = 'Connection: close\r\n\r\n'
+
+
+async def answer_then_drop(request):
+    if request.number == 0:
+        await answer_ok(request)
+    else:
+        await drop(request)
+
+
+async def fetch(session, method, url, **options):
+    async with session.request(method, url, **options) as answer:
+        return answer.status, answer.headers['Daisylift-Outcome'], await answer.read()
+
+
+@pytest.mark.parametrize('method', ['PUT', 'DELETE', 'POST'])
+async def test_work_that_may_not_be_repeated_is_sent_once(method):
+    async with (
+        relay_before(answer_then_drop) as (node, servers),
+        aiohttp.ClientSession() as session,
+    ):
+        await fetch(session, method, f'{node.url}/x')
+        status, outcome, _ = await fetch(session, method, f'{node.url}/x')
+        assert (status, outcome) == (502, 'unknown')
+        assert len(servers[0].requests) == 2
+
+
+async def test_idempotent_work_is_sent_once_more_at_most():
+    async with (
+        relay_before(drop, drop, drop) as (node, servers),
+        aiohttp.ClientSession() as session,
+    ):
+        status, outcome, _ = await fetch(session, 'GET', f'{node.url}/x')
+        assert (status, outcome) == (502, 'unknown')
+        assert sorted(len(server.requests) for server in servers) == [0, 1, 1]
+        retries = 'daisylift_retries_total'
+        assert node.counted(retries, verdict='granted') == 1
+        assert node.counted(retries, verdict='tries-spent') == 1
+
+
+async def test_retries_stay_within_the_budget():
+    async with (
+        relay_before(drop, drop, retry_budget=0.1) as (node, servers),
+        aiohttp.ClientSession() as session,
+    ):
+        for _ in range(20):
+            await fetch(session, 'GET', f'{node.url}/x')
+        sent = sum(len(server.requests) for server in servers)
+        assert 20 < sent <= 20 + 1 + 20 * 0.1
+
+
+async def test_payment_goes_on_where_nothing_can_have_run():
+    async with (
+        relay_before(answer_ok, answer_ok) as (node, servers),
+        aiohttp.ClientSession() as session,
+    ):
+        await servers[0].stop()
+        for _ in range(6):
+            status, _, _ = await fetch(session, 'POST', f'{node.url}/pay')
+            assert status == 200
+        assert len(servers[1].requests) == 6
+
+
+async def test_refusal_of_all_servers_is_did_not_run():
+    async with (
+        relay_before(refuse_before_running) as (node, _),
+        aiohttp.ClientSession() as session,
+        session.post(f'{node.url}/pay') as answer,
+    ):
+        assert answer.status == 503
+        assert answer.headers['Daisylift-Outcome'] == 'did-not-run'
+        assert answer.headers['Retry-After'] == '1'
+        assert answer.content_type == 'application/problem+json'
+        document = await answer.json(content_type=None)
+        assert document['type'] == 'urn:daisylift:server-refused'
+
+
+async def test_no_server_to_connect_to_is_did_not_run():
+    async with (
+        relay_before(answer_ok) as (node, servers),
+        aiohttp.ClientSession() as session,
+    ):
+        await servers[0].stop()
+        status, outcome, _ = await fetch(session, 'POST', f'{node.url}/pay')
+        assert (status, outcome) == (502, 'did-not-run')
+        assert node.counted('daisylift_retries_total', reason='connect-failed') == 3
+
+
+@pytest.mark.parametrize(
+    'short',
+    [
+        b'HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc',
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n',
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabc',
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\nzz\r\n',
+    ],
+)
+async def test_short_answer_is_broken_off(short):
+    async def script(request):
+        await request.answer(short)
+        request.writer.close()
+
+    async with relay_before(script) as (node, _):
+        for version in ('1.1', '1.0'):
+            raw = f'GET /v1/services/till/x HTTP/{version}\r\nHost: a\r\n{CLOSE}'
+            answer = await send_raw(node.port, raw.encode())
+            assert answer.was_reset or answer.status == 502
+            assert b'0\r\n\r\n' not in answer.raw
+
+
+async def test_late_answer_reaches_nobody():
+    async def slow_then_ok(request):
+        if request.line.startswith('GET /slow'):
+            await asyncio.sleep(0.2)
+        await answer_ok(request)
+
+    async with (
+        relay_before(slow_then_ok) as (node, servers),
+        aiohttp.ClientSession() as session,
+    ):
+        timeout = {'Daisylift-Timeout-Ms': '50'}
+        first = await fetch(session, 'POST', f'{node.url}/warm')
+        assert first[0] == 200
+        slow = await fetch(session, 'GET', f'{node.url}/slow', headers=timeout)
+        assert slow[:2] == (504, 'unknown')
+        for name in ('a', 'b'):
+            answer = await fetch(session, 'POST', f'{node.url}/{name}')
+            assert answer[2] == f'POST /{name} HTTP/1.1'.encode()
+        assert servers[0].requests[-1].number < 2
+        assert node.permits.in_doubt == [False, True, False, False]
+
+
+async def test_caller_that_goes_away_cancels_its_work():
+    async with relay_before(stay_silent) as (node, servers):
+        _, writer = await asyncio.open_connection('127.0.0.1', node.port)
+        writer.write(b'GET /v1/services/till/x HTTP/1.1\r\nHost: a\r\n\r\n')
+        await settled(lambda: servers[0].requests)
+        writer.transport.abort()
+        await asyncio.wait_for(servers[0].closed.wait(), 5.0)
+        await settled(lambda: node.permits.in_doubt)
+        assert node.permits.in_doubt == [True]
+
+
+@pytest.mark.parametrize('sent', [3, 100_000])
+@pytest.mark.parametrize('chunked', [False, True])
+@pytest.mark.parametrize('aborted', [False, True])
+async def test_short_body_is_not_passed_as_whole(sent, chunked, aborted):
+    body = b'x' * sent
+    framing = f'Content-Length: {sent + 5}\r\n\r\n'.encode() + body
+    if chunked:
+        framing = b'Transfer-Encoding: chunked\r\n\r\n%x\r\n%s' % (sent + 5, body)
+    async with relay_before(answer_ok) as (node, servers):
+        raw = b'POST /v1/services/till/x HTTP/1.1\r\nHost: a\r\n' + framing
+        _, writer = await asyncio.open_connection('127.0.0.1', node.port)
+        writer.write(raw)
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        if aborted:
+            writer.transport.abort()
+        else:
+            writer.close()
+        await asyncio.sleep(0.05)
+        await settled(lambda: not servers[0].requests or servers[0].closed.is_set())
+        assert all(not request.body for request in servers[0].requests)
+        await settled(lambda: not any(node.permits.used.values()))
+
+
+async def test_permit_that_lapsed_meanwhile_starts_nothing():
+    async with (
+        relay_before(answer_ok) as (node, servers),
+        aiohttp.ClientSession() as session,
+    ):
+        node.permits.may_start = False
+        status, outcome, _ = await fetch(session, 'POST', f'{node.url}/pay')
+        assert (status, outcome) == (503, 'did-not-run')
+        assert servers[0].requests == []
+        assert node.permits.in_doubt == [False, False, False]
+
+
+async def test_server_that_answers_before_the_body_is_whole():
+    async def too_large(request):
+        await request.answer(b'HTTP/1.1 413 Big\r\nContent-Length: 0\r\n\r\n')
+
+    async with (
+        relay_before(too_large) as (node, servers),
+        aiohttp.ClientSession() as session,
+    ):
+        first = await fetch(session, 'POST', f'{node.url}/x', data=b'y' * 300_000)
+        second = await fetch(session, 'POST', f'{node.url}/x', data=b'y')
+        assert (first[0], second[0]) == (413, 413)
+        assert len(servers[0].requests) == 2
