Route by own figures, pace links, poll load, stop requests that break servers

Cause: the choice knew only free slots and distance; links had no budgets; a request that crashes its server could go round all of them. Ruled out: trusting load reports to add slots (they lag and mislead, so they only take away); counting breaks of requests answered within the last minute, as the loss of a failure domain would then stop the most popular requests on all nodes; dividing a link by the ordinals of its source region alone (nodes of both ends use it).

--- a/packages/daisylift-node/src/daisylift_node/process/application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/application.py
@@ -15,9 +15,13 @@
 from daisylift_node.connection.caller import caller_server
 from daisylift_node.connection.upstream import UpstreamConnections
 from daisylift_node.errors import StartError
+from daisylift_node.process.breaking import BreakRegister
 from daisylift_node.process.health import HealthBook
+from daisylift_node.process.links import LinkPacer
+from daisylift_node.process.load import POLL_PERIOD_SECONDS, LoadPoller
 from daisylift_node.process.members import Members
 from daisylift_node.process.metrics import Metrics
+from daisylift_node.process.notices import Notices
 from daisylift_node.process.operator import OperatorService
 from daisylift_node.process.permits import PermitPool
 from daisylift_node.process.platform import PlatformClient
@@ -57,17 +61,33 @@
         self.members = Members(settings, self.incarnation, self.platform)
         self.permits = PermitPool()
         self.health = HealthBook()
+        self.links = LinkPacer(settings.vm.failure_domain, time.monotonic, self.metrics)
+        self.notices = Notices()
+        self.breaks = BreakRegister(
+            self.metrics, time.monotonic, self.notices.announce_break
+        )
+        self.load = LoadPoller(
+            connections=self.connections,
+            health=self.health,
+            metrics=self.metrics,
+            clock=time.monotonic,
+            on_drain=self.notices.announce_drain,
+        )
         self.admission = Admission(
             failure_domain=settings.vm.failure_domain,
             permits=self.permits,
             health=self.health,
             clock=time.monotonic,
             random=random.Random(self.incarnation).random,
+            closed_regions=self.links.closed_regions,
         )
         self.relay = RelayHandler(
             guard=OpenGuard(),
             admission=self.admission,
-            exchange=Exchange(self.connections, self.health, time.monotonic),
+            exchange=Exchange(
+                self.connections, self.health, self.links, time.monotonic
+            ),
+            breaks=self.breaks,
             metrics=self.metrics,
             clock=time.monotonic,
         )
@@ -87,6 +107,7 @@
             await component.start()
         await self._refresh_members()
         self.timer.subscribe(MEMBERS_PERIOD_SECONDS, self._refresh_members)
+        self.timer.subscribe(POLL_PERIOD_SECONDS, self.load.poll)
         lookup = LookupHandler(self.follower, self.members, self.metrics)
         caller = web.ServerRunner(caller_server(lookup.handle, self.relay.handle))
         await self._listen(caller, self.settings.caller)
@@ -115,6 +136,8 @@
         self.health.set_configuration(configuration, time.monotonic())
         self.admission.set_configuration(configuration)
         self.relay.set_configuration(configuration)
+        self.links.set_configuration(configuration)
+        self.load.set_configuration(configuration)
         self.connections.keep_only(self.health.by_server)
 
     async def _refresh_members(self) -> None:
@@ -122,6 +145,7 @@
         if self.members.own is not None:
             self.permits.set_ordinal(self.members.own.ordinal)
             self.admission.permits_changed()
+            self.load.set_ordinal(self.members.own.ordinal)
 
     def _operations_application(self) -> web.Application:
         application = web.Application()
--- /dev/null
+++ b/packages/daisylift-node/src/daisylift_node/process/breaking.py
@@ -0,0 +1,54 @@
+"""Remembers requests that broke backend servers, and tells peers of them."""
+
+import secrets
+from collections.abc import Callable
+
+from loguru import logger
+
+from daisylift.decisions.breaking import BreakingRequests, Digest
+from daisylift_node.process.metrics import Metrics
+
+BREAK_ID_BITS = 64
+ANSWERED = 0
+
+Clock = Callable[[], float]
+Announce = Callable[[Digest, int], None]
+
+
+class BreakRegister:
+    """Counts breaks of this node and of its peers.
+
+    A notice names a digest and a break; the break ANSWERED says that the request was
+    answered after all.
+    """
+
+    def __init__(self, metrics: Metrics, clock: Clock, announce: Announce) -> None:
+        self._metrics = metrics
+        self._clock = clock
+        self._announce = announce
+        self._requests = BreakingRequests()
+
+    def is_stopped(self, digest: Digest) -> bool:
+        """Say whether the request may not run again for now."""
+        return self._requests.is_stopped(digest, self._clock())
+
+    def broke(self, digest: Digest) -> None:
+        """Count a break seen here, and tell the peers."""
+        break_id = secrets.randbits(BREAK_ID_BITS) | 1
+        if not self._requests.broke(digest, break_id, self._clock()):
+            return
+        logger.warning('a request broke its backend server: {}', digest.hex())
+        self._announce(digest, break_id)
+
+    def answered(self, digest: Digest) -> None:
+        """Clear a request that was answered; tell the peers if it was counted."""
+        if self._requests.answered(digest, self._clock()):
+            self._announce(digest, ANSWERED)
+
+    def heard(self, digest: Digest, break_id: int) -> None:
+        """Take in the notice of a peer."""
+        now = self._clock()
+        if break_id == ANSWERED:
+            self._requests.answered(digest, now)
+        else:
+            self._requests.broke(digest, break_id, now)
--- /dev/null
+++ b/packages/daisylift-node/src/daisylift_node/process/links.py
@@ -0,0 +1,48 @@
+"""Paces what this node sends and asks for over the links between regions."""
+
+import asyncio
+from collections.abc import Callable
+
+from daisylift.decisions.configuration import Configuration
+from daisylift.decisions.links import LinkShares
+from daisylift_node.process.metrics import Metrics
+
+Clock = Callable[[], float]
+
+
+class LinkPacer:
+    """Lets bytes pass as the own shares of the links allow."""
+
+    def __init__(self, failure_domain: str, clock: Clock, metrics: Metrics) -> None:
+        self._failure_domain = failure_domain
+        self._clock = clock
+        self._metrics = metrics
+        self._shares = LinkShares()
+
+    def set_configuration(self, configuration: Configuration) -> None:
+        """Take on the budgets of a configuration."""
+        regions = configuration.policy.regions_by_failure_domain()
+        region = regions.get(self._failure_domain, '')
+        self._shares.set_policy(configuration.policy, region)
+
+    def closed_regions(self) -> frozenset[str]:
+        """Return the regions that nothing new should go to for now."""
+        return self._shares.closed_regions(self._clock())
+
+    async def upload(self, region: str, size: int) -> None:
+        """Wait until so many bytes may go to the region."""
+        await self._pass(self._shares.region, region, size)
+
+    async def download(self, region: str, size: int) -> None:
+        """Wait until so many bytes may come from the region."""
+        await self._pass(region, self._shares.region, size)
+
+    async def _pass(self, source: str, destination: str, size: int) -> None:
+        if source == destination:
+            return
+        self._metrics.link_bytes.labels(source=source, destination=destination).inc(
+            size
+        )
+        seconds = self._shares.take(source, destination, size, self._clock())
+        if seconds > 0.0:
+            await asyncio.sleep(seconds)
--- /dev/null
+++ b/packages/daisylift-node/src/daisylift_node/process/load.py
@@ -0,0 +1,179 @@
+"""Polls the load of backend servers, and sums it up for each region."""
+
+import asyncio
+import json
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+import aiohttp
+from loguru import logger
+
+from daisylift.decisions.configuration import Configuration, ServerKey
+from daisylift.decisions.health import load_report
+from daisylift.decisions.polling import pollers
+from daisylift.models import BackendServer
+from daisylift_node.connection.upstream import UpstreamConnections
+from daisylift_node.process.health import HealthBook
+from daisylift_node.process.metrics import Metrics
+
+POLL_PERIOD_SECONDS = 2.0
+POLL_TIMEOUT_SECONDS = 0.5
+MAX_POLLS_AT_ONCE = 16
+MAX_REPORT_BYTES = 4096
+WATCH_SECONDS = 30.0
+LOAD_PATH = '/load'
+
+Clock = Callable[[], float]
+DrainListener = Callable[[ServerKey, bool], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Headroom:
+    """The load of a service in one region, as far as it is known.
+
+    ``slots`` and ``in_flight`` sum up the ``heard`` servers, out of ``servers`` that
+    are not draining; ``age_seconds`` is that of the oldest report, infinite while any
+    server is unheard.
+    """
+
+    servers: int
+    heard: int
+    slots: int
+    in_flight: int
+    age_seconds: float
+
+    @property
+    def free_share(self) -> float:
+        """Return the free part of the slots heard of, 0 when there are none."""
+        if self.slots == 0:
+            return 0.0
+        return max(0.0, 1.0 - self.in_flight / self.slots)
+
+
+class LoadPoller:
+    """Polls the servers that fall to this node, and those of watched services."""
+
+    def __init__(
+        self,
+        connections: UpstreamConnections,
+        health: HealthBook,
+        metrics: Metrics,
+        clock: Clock,
+        on_drain: DrainListener,
+    ) -> None:
+        self._connections = connections
+        self._health = health
+        self._metrics = metrics
+        self._clock = clock
+        self._on_drain = on_drain
+        self._ordinal: int | None = None
+        self._configuration = Configuration()
+        self._regions: dict[str, str] = {}
+        self._own: dict[ServerKey, BackendServer] = {}
+        self._watched_until: dict[str, float] = {}
+        self._limit = asyncio.Semaphore(MAX_POLLS_AT_ONCE)
+
+    def set_ordinal(self, ordinal: int) -> None:
+        """Take on the servers that fall to an ordinal."""
+        if ordinal != self._ordinal:
+            self._ordinal = ordinal
+            self.set_configuration(self._configuration)
+
+    def set_configuration(self, configuration: Configuration) -> None:
+        """Take on the servers of a configuration."""
+        self._configuration = configuration
+        policy = configuration.policy
+        self._regions = policy.regions_by_failure_domain()
+        ordinals = sorted(entry.ordinal for entry in policy.roster)
+        self._own = {
+            key: server
+            for key, server in self._servers(s.name for s in policy.services)
+            if self._ordinal in pollers(key, ordinals)
+        }
+
+    async def poll(self) -> None:
+        """Poll once what falls to this node; called at each period."""
+        now = self._clock()
+        names = [name for name, until in self._watched_until.items() if until > now]
+        self._watched_until = {name: self._watched_until[name] for name in names}
+        servers = self._own | dict(self._servers(names))
+        await asyncio.gather(*(self._poll(*item) for item in servers.items()))
+
+    def headroom(self, service: str) -> dict[str, Headroom]:
+        """Return the headroom of a service keyed by region, and watch the service.
+
+        Servers are polled for it from the first call on, so the first answers may
+        know little; old or missing reports show in the age.
+        """
+        now = self._clock()
+        self._watched_until[service] = now + WATCH_SECONDS
+        by_region: dict[str, list[ServerKey]] = {}
+        for key, server in self._servers([service]):
+            if key not in self._configuration.draining:
+                region = self._regions[server.failure_domain]
+                by_region.setdefault(region, []).append(key)
+        return {region: self._sum(keys, now) for region, keys in by_region.items()}
+
+    def _sum(self, keys: list[ServerKey], now: float) -> Headroom:
+        healths = [self._health.by_server[key] for key in keys]
+        healths = [health for health in healths if health.drained_at is None]
+        reports = [health.report for health in healths if health.report is not None]
+        ages = [now - report.at for report in reports]
+        whole = len(reports) == len(healths) and reports
+        return Headroom(
+            servers=len(healths),
+            heard=len(reports),
+            slots=sum(report.slots for report in reports),
+            in_flight=sum(report.in_flight for report in reports),
+            age_seconds=max(ages) if whole else float('inf'),
+        )
+
+    def _servers(
+        self, services: Iterable[str]
+    ) -> Iterable[tuple[ServerKey, BackendServer]]:
+        by_name = self._configuration.policy.services_by_name()
+        for name in services:
+            for server in by_name[name].servers if name in by_name else ():
+                yield ServerKey(service=name, server=server.name), server
+
+    async def _poll(self, key: ServerKey, server: BackendServer) -> None:
+        async with self._limit:
+            try:
+                document = await self._fetch(key, server)
+                result = self._take_in(key, document)
+            except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+                logger.debug('no load of {}: {!r}', key, error)
+                result = 'failed'
+        self._metrics.load_polls.labels(result=result).inc()
+
+    async def _fetch(self, key: ServerKey, server: BackendServer) -> object:
+        authority = f'[{server.host}]' if ':' in server.host else server.host
+        url = f'http://{authority}:{server.port}{LOAD_PATH}'
+        lease = self._connections.lease(key, server, server.connections)
+        async with asyncio.timeout(POLL_TIMEOUT_SECONDS):
+            with lease as session:
+                async with session.get(url, allow_redirects=False) as answer:
+                    if answer.status != 200:
+                        raise ValueError(f'status {answer.status}')
+                    raw = await answer.content.read(MAX_REPORT_BYTES)
+                    return json.loads(raw)
+
+    def _take_in(self, key: ServerKey, document: object) -> str:
+        if not isinstance(document, dict):
+            return 'garbage'
+        numbers = document.get('in_flight'), document.get('slots')
+        now = self._clock()
+        self._note_drain(key, document.get('draining'), now)
+        if not all(type(number) is int for number in numbers):
+            return 'garbage'
+        report = load_report(*numbers, now)
+        if report is None:
+            return 'garbage'
+        self._health.reported(key, report)
+        return 'heard'
+
+    def _note_drain(self, key: ServerKey, draining: object, now: float) -> None:
+        if draining is True and self._health.drain_seen(key, now):
+            self._on_drain(key, True)
+        if draining is False and self._health.drain_denied(key, now):
+            self._on_drain(key, False)
--- a/packages/daisylift-node/src/daisylift_node/process/metrics.py
+++ b/packages/daisylift-node/src/daisylift_node/process/metrics.py
@@ -47,6 +47,24 @@
             ['service', 'reason', 'verdict'],
             registry=self.registry,
         )
+        self.link_bytes = Counter(
+            'daisylift_link_bytes',
+            'Bytes sent or asked for over a link between regions.',
+            ['source', 'destination'],
+            registry=self.registry,
+        )
+        self.load_polls = Counter(
+            'daisylift_load_polls',
+            'Polls of backend servers by result.',
+            ['result'],
+            registry=self.registry,
+        )
+        self.notices = Counter(
+            'daisylift_notices',
+            'Notices to and from peers by kind and direction.',
+            ['kind', 'direction'],
+            registry=self.registry,
+        )
         self.platform_calls = Counter(
             'daisylift_platform_calls',
             'Calls to the platform by call and result.',
--- a/packages/daisylift-node/src/daisylift_node/request/answer.py
+++ b/packages/daisylift-node/src/daisylift_node/request/answer.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 import struct
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 import aiohttp
 from aiohttp import web
@@ -24,18 +24,40 @@
 Pace = Callable[[int], Awaitable[None]]
 
 
+def answer_head(
+    upstream: aiohttp.ClientResponse, outcome: Outcome
+) -> web.StreamResponse:
+    """Return the answer for the caller, with all but its body."""
+    answer = web.StreamResponse(status=upstream.status, reason=upstream.reason)
+    connection = upstream.headers.getall('Connection', ())
+    for name, value in headers.end_to_end(upstream.headers.items(), connection):
+        if name.lower() not in INTERNAL_HEADERS:
+            answer.headers.add(name, value)
+    answer.headers[headers.OUTCOME] = outcome.value
+    return answer
+
+
 async def pass_answer(
-    call: Call, upstream: aiohttp.ClientResponse, outcome: Outcome, pace: Pace
+    call: Call,
+    upstream: aiohttp.ClientResponse,
+    answer: web.StreamResponse,
+    pace: Pace,
 ) -> Ending:
-    """Stream the answer; cut the caller's connection when it can't be ended."""
-    answer = _head(upstream, outcome)
+    """Stream the answer; cut the caller's connection when it can't be ended.
+
+    A cancellation, by the deadline or by a caller that goes away, cuts it as well.
+    """
     if call.recorder is not None:
         call.recorder.begin(answer.status, answer.headers)
     try:
         await answer.prepare(call.request)
-        await _pass_body(call, upstream, answer, pace)
+        async for part in _read(upstream):
+            await pace(len(part))
+            if call.recorder is not None:
+                call.recorder.write(part)
+            await answer.write(part)
         await answer.write_eof()
-    except (TimeoutError, aiohttp.ClientError, OSError) as error:
+    except (_UpstreamError, ConnectionError) as error:
         upstream.close()
         return _broken_off(call, answer, error)
     except asyncio.CancelledError:
@@ -47,36 +69,22 @@
     return Answered(answer)
 
 
-async def _pass_body(
-    call: Call,
-    upstream: aiohttp.ClientResponse,
-    answer: web.StreamResponse,
-    pace: Pace,
-) -> None:
-    async for part in upstream.content.iter_chunked(READ_CHUNK_BYTES):
-        await pace(len(part))
-        if call.recorder is not None:
-            call.recorder.write(part)
-        await answer.write(part)
+class _UpstreamError(Exception):
+    """The backend server's side of the answer broke."""
 
 
-def _head(upstream: aiohttp.ClientResponse, outcome: Outcome) -> web.StreamResponse:
-    answer = web.StreamResponse(status=upstream.status, reason=upstream.reason)
-    connection = upstream.headers.getall('Connection', ())
-    for name, value in headers.end_to_end(upstream.headers.items(), connection):
-        if name.lower() not in INTERNAL_HEADERS:
-            answer.headers.add(name, value)
-    answer.headers[headers.OUTCOME] = outcome.value
-    return answer
+async def _read(upstream: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
+    try:
+        async for part in upstream.content.iter_chunked(READ_CHUNK_BYTES):
+            yield part
+    except (aiohttp.ClientError, OSError) as error:
+        raise _UpstreamError(type(error).__name__) from error
 
 
 def _broken_off(call: Call, answer: web.StreamResponse, error: Exception) -> BrokenOff:
     _cut(call.request)
-    reason = Reason.CONNECTION_LOST
-    if isinstance(error, TimeoutError):
-        reason = Reason.DEADLINE_PASSED
-    detail = f'the answer broke off: {type(error).__name__}'
-    return BrokenOff(answer, unknown(reason, detail))
+    refusal = unknown(Reason.CONNECTION_LOST, f'the answer broke off: {error}')
+    return BrokenOff(answer, refusal, isinstance(error, _UpstreamError))
 
 
 def _cut(request: web.BaseRequest) -> None:
--- a/packages/daisylift-node/src/daisylift_node/request/body.py
+++ b/packages/daisylift-node/src/daisylift_node/request/body.py
@@ -1,6 +1,6 @@
 """The body of a caller's request: small ones are read ahead, large ones streamed."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 import aiohttp
 from aiohttp import web
@@ -9,6 +9,9 @@
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
+Pace = Callable[[int], Awaitable[None]]
+
+
 class CallerBodyError(aiohttp.ClientError):
     """The caller's body ended short or could not be read."""
 
@@ -55,16 +58,17 @@
         if not self._whole and self._request.content.at_eof():
             self._whole = True
 
-    def payload(self) -> bytes | AsyncIterator[bytes] | None:
-        """Return what to hand to the HTTP client."""
+    def payload(self, pace: Pace) -> bytes | AsyncIterator[bytes] | None:
+        """Return what to hand to the HTTP client; parts after the head are paced."""
         if self._whole:
             return self.head or None
-        return self._stream()
+        return self._stream(pace)
 
-    async def _stream(self) -> AsyncIterator[bytes]:
+    async def _stream(self, pace: Pace) -> AsyncIterator[bytes]:
         self._streamed = True
         yield self.head
         while part := await self._read(READ_AHEAD_BYTES):
+            await pace(len(part))
             yield part
 
     async def _continue(self) -> None:
@@ -77,8 +81,7 @@
     async def _read(self, limit: int) -> bytes:
         content = self._request.content
         try:
-            part = await content.readany() if limit <= 0 else await content.read(limit)
+            return await content.read(limit)
         except (aiohttp.ClientError, web.RequestPayloadError, OSError) as error:
             self.failed = True
             raise CallerBodyError(repr(error)) from error
-        return part
--- a/packages/daisylift-node/src/daisylift_node/request/call.py
+++ b/packages/daisylift-node/src/daisylift_node/request/call.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from daisylift import headers
+from daisylift.decisions.breaking import Digest, request_digest
 from daisylift.decisions.deadlines import Deadline, take_deadline
 from daisylift.models import Service
 from daisylift_node.request.body import CallerBody
@@ -56,6 +57,16 @@
         """Say whether the service allows this request to run more than once."""
         return self.request.method in self.service.idempotent_methods
 
+    def digest(self) -> Digest:
+        """Return the digest by which a repeat is known, once the body is read ahead."""
+        return request_digest(
+            service=self.service.name,
+            method=self.method,
+            target=self.target,
+            body=self.body.head,
+            length=self.request.headers.get('Content-Length', ''),
+        )
+
     @property
     def idempotency_key(self) -> str | None:
         """Return the caller's own key, if it sent one."""
--- a/packages/daisylift-node/src/daisylift_node/request/ending.py
+++ b/packages/daisylift-node/src/daisylift_node/request/ending.py
@@ -17,10 +17,14 @@
 
 @dataclass(frozen=True, slots=True)
 class BrokenOff:
-    """The answer had begun and could not be ended; the caller's connection is cut."""
+    """The answer had begun and could not be ended; the caller's connection is cut.
+
+    ``broke_connection`` says that the backend server broke its connection off.
+    """
 
     response: web.StreamResponse
     reason: Refusal
+    broke_connection: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daisylift-node/src/daisylift_node/request/exchange.py
+++ b/packages/daisylift-node/src/daisylift_node/request/exchange.py
@@ -3,34 +3,43 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 import aiohttp
+from aiohttp import web
 from multidict import CIMultiDict
 from yarl import URL
 
 from daisylift import headers
 from daisylift.outcome import Outcome
-from daisylift_node.connection.send_once import SendOnce
+from daisylift_node.connection.send_once import SecondSendError, SendOnce
 from daisylift_node.connection.upstream import (
     Dispatch,
     DispatchRefusedError,
     UpstreamConnections,
 )
 from daisylift_node.process.health import HealthBook
+from daisylift_node.process.links import LinkPacer
 from daisylift_node.request.admission import Attempt
-from daisylift_node.request.answer import Pace, pass_answer
+from daisylift_node.request.answer import answer_head, pass_answer
 from daisylift_node.request.call import Call
 from daisylift_node.request.ending import Answered, BrokenOff, Ending, Refused
 from daisylift_node.request.problem import Reason, did_not_run, unknown
 
 SERVICE_UNAVAILABLE = 503
 SLOW_SHARE = 0.5
+HEAD_BYTES = 512
+CONNECTION_ERRORS = (aiohttp.ClientConnectionError, SecondSendError, OSError)
 
 Clock = Callable[[], float]
 
 
-async def _no_pace(_: int) -> None:
-    return
+@dataclass(slots=True)
+class Progress:
+    """How far a try has come; ``answer`` is set once its head has arrived."""
+
+    dispatch: Dispatch
+    answer: web.StreamResponse | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,36 +48,40 @@
 
     connections: UpstreamConnections
     health: HealthBook
+    links: LinkPacer
     clock: Clock
 
-    async def run(self, call: Call, attempt: Attempt, pace: Pace = _no_pace) -> Ending:
+    async def run(self, call: Call, attempt: Attempt) -> Ending:
         """Send the call once; whatever ends in doubt has its connection closed."""
-        dispatch = Dispatch(lambda: self._may_start(call, attempt))
+        progress = Progress(Dispatch(lambda: self._may_start(call, attempt)))
         started_at = self.clock()
         try:
             async with asyncio.timeout_at(call.deadline.at):
-                return await self._send(call, attempt, dispatch, pace)
+                await self.links.upload(
+                    attempt.region, HEAD_BYTES + len(call.body.head)
+                )
+                return await self._send(call, attempt, progress)
         except TimeoutError:
             self._note_timeout(call, attempt, started_at)
-            return _late(dispatch)
+            return _late(progress)
         except DispatchRefusedError as error:
             return Refused(did_not_run(Reason.PERMIT_LAPSED, str(error)))
         except (aiohttp.ClientError, OSError) as error:
-            return self._broken(call, attempt, dispatch, error)
+            return self._broken(call, attempt, progress.dispatch, error)
 
-    async def _send(
-        self, call: Call, attempt: Attempt, dispatch: Dispatch, pace: Pace
-    ) -> Ending:
+    async def _send(self, call: Call, attempt: Attempt, progress: Progress) -> Ending:
         started_at = self.clock()
+        upload = partial(self.links.upload, attempt.region)
+        download = partial(self.links.download, attempt.region)
         lease = self.connections.lease(attempt.key, attempt.server, attempt.connections)
         with lease as session:
             async with session.request(
                 call.method,
                 _url(call, attempt),
                 headers=_fields(call, started_at),
-                data=call.body.payload(),
+                data=call.body.payload(upload),
                 allow_redirects=False,
-                middlewares=(SendOnce(), dispatch),
+                middlewares=(SendOnce(), progress.dispatch),
             ) as upstream:
                 now = self.clock()
                 seconds = now - started_at
@@ -80,8 +93,9 @@
                         Reason.SERVER_REFUSED, 'the backend server took nothing on'
                     )
                     return Refused(refusal, reached_server=True)
-                ending = await pass_answer(call, upstream, Outcome.ANSWERED, pace)
-        if isinstance(ending, BrokenOff):
+                progress.answer = answer_head(upstream, Outcome.ANSWERED)
+                ending = await pass_answer(call, upstream, progress.answer, download)
+        if isinstance(ending, BrokenOff) and ending.broke_connection:
             self.health.failed(attempt.key, self.clock())
         return ending
 
@@ -109,7 +123,7 @@
         return Refused(
             unknown(Reason.CONNECTION_LOST, _short(error)),
             reached_server=True,
-            broke_connection=True,
+            broke_connection=isinstance(error, CONNECTION_ERRORS),
         )
 
 
@@ -124,11 +138,14 @@
             return refusal.outcome is not Outcome.DID_NOT_RUN
 
 
-def _late(dispatch: Dispatch) -> Refused:
-    if dispatch.has_left:
-        refusal = unknown(Reason.DEADLINE_PASSED, 'no answer before the deadline')
-        return Refused(refusal, reached_server=True)
-    return Refused(did_not_run(Reason.DEADLINE_PASSED, 'too late to send the request'))
+def _late(progress: Progress) -> Ending:
+    if not progress.dispatch.has_left:
+        detail = 'too late to send the request'
+        return Refused(did_not_run(Reason.DEADLINE_PASSED, detail))
+    refusal = unknown(Reason.DEADLINE_PASSED, 'no whole answer before the deadline')
+    if progress.answer is not None and progress.answer.prepared:
+        return BrokenOff(progress.answer, refusal)
+    return Refused(refusal, reached_server=True)
 
 
 def _short(error: Exception) -> str:
--- a/packages/daisylift-node/src/daisylift_node/request/relay.py
+++ b/packages/daisylift-node/src/daisylift_node/request/relay.py
@@ -7,6 +7,7 @@
 from loguru import logger
 from returns.result import Failure, Success
 
+from daisylift.decisions.breaking import Digest
 from daisylift.decisions.configuration import Configuration
 from daisylift.decisions.retries import (
     FailedTry,
@@ -15,6 +16,7 @@
     judge_retry,
 )
 from daisylift.outcome import Outcome
+from daisylift_node.process.breaking import BreakRegister
 from daisylift_node.process.metrics import Metrics
 from daisylift_node.request.admission import Admission, Attempt
 from daisylift_node.request.body import CallerBodyError
@@ -49,12 +51,14 @@
         guard: Guard,
         admission: Admission,
         exchange: Exchange,
+        breaks: BreakRegister,
         metrics: Metrics,
         clock: Clock,
     ) -> None:
         self._guard = guard
         self._admission = admission
         self._exchange = exchange
+        self._breaks = breaks
         self._metrics = metrics
         self._clock = clock
         self._services = Configuration().policy.services_by_name()
@@ -112,12 +116,16 @@
         tried: frozenset[str] = frozenset()
         last: Refused | None = None
         tries = may_have_run = 0
+        digest = call.digest()
         while True:
+            if self._breaks.is_stopped(digest):
+                return last or Refused(_breaks_servers())
             admitted = await self._admission.admit(call, tried)
             if isinstance(admitted, Failure):
                 return last or Refused(_not_admitted(call, admitted.failure()))
             attempt = admitted.unwrap()
             ending = await self._attempt(call, attempt)
+            self._note_break(digest, ending)
             if not isinstance(ending, Refused):
                 return ending
             last = _graver(last, ending)
@@ -139,6 +147,13 @@
         finally:
             self._admission.release(attempt, in_doubt)
 
+    def _note_break(self, digest: Digest, ending: Ending) -> None:
+        match ending:
+            case Answered():
+                self._breaks.answered(digest)
+            case BrokenOff(broke_connection=True) | Refused(broke_connection=True):
+                self._breaks.broke(digest)
+
     def _failed(
         self, call: Call, ending: Refused, tries: int, may_have_run: int
     ) -> FailedTry:
@@ -183,6 +198,11 @@
     return last
 
 
+def _breaks_servers() -> Refusal:
+    detail = 'backend servers broke off in the course of this request before'
+    return did_not_run(Reason.BREAKS_SERVERS, detail)
+
+
 def _not_admitted(call: Call, reason: Reason) -> Refusal:
     if reason is Reason.DEADLINE_PASSED:
         return did_not_run(reason, 'the deadline passed before a slot was free')
