--- a/packages/daisylift-node/src/daisylift_node/process/application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/application.py
@@ -1,5 +1,7 @@
 """The application: owns every component, starts them, and cleans up after them."""
 
+import random
+import time
 from typing import Protocol
 
 from aiohttp import web
@@ -9,15 +11,24 @@
 
 from daisylift.decisions.configuration import Configuration
 from daisylift_node.config import ListenSettings, Settings
+from daisylift_node.connection.caller import caller_server
 from daisylift_node.connection.peers import PeerLink, new_incarnation
 from daisylift_node.connection.upstream import UpstreamConnections
 from daisylift_node.errors import StartError
+from daisylift_node.process.breaking import BreakRegister
+from daisylift_node.process.health import HealthBook
+from daisylift_node.process.links import LinkPacer
+from daisylift_node.process.load import POLL_PERIOD_SECONDS, LoadPoller
 from daisylift_node.process.members import Members
 from daisylift_node.process.metrics import Metrics
+from daisylift_node.process.notices import Notices
 from daisylift_node.process.operator import OperatorService
 from daisylift_node.process.permits import PermitPool
 from daisylift_node.process.platform import PlatformClient
 from daisylift_node.process.timer import TimerService
+from daisylift_node.request.admission import Admission
+from daisylift_node.request.exchange import Exchange
+from daisylift_node.request.guard import OpenGuard
 from daisylift_node.request.lookup import LookupHandler
 from daisylift_node.request.relay import RelayHandler
 from daisylift_node.version.change_writer import ChangeWriter
@@ -26,7 +37,6 @@
 
 MEMBERS_PERIOD_SECONDS = 1.0
 PERMITS_PERIOD_SECONDS = 0.1
-MAX_HEADER_BYTES = 16 * 1024
 
 
 class Component(Protocol):
@@ -57,7 +67,38 @@
         self.members = Members(settings, self.incarnation, self.platform)
         self.steering = Steering(self.members)
         self.permits = PermitPool()
-        self._runners: list[web.AppRunner] = []
+        self.health = HealthBook()
+        self.links = LinkPacer(settings.vm.failure_domain, time.monotonic, self.metrics)
+        self.notices = Notices()
+        self.breaks = BreakRegister(
+            self.metrics, time.monotonic, self.notices.announce_break
+        )
+        self.load = LoadPoller(
+            connections=self.connections,
+            health=self.health,
+            metrics=self.metrics,
+            clock=time.monotonic,
+            on_drain=self.notices.announce_drain,
+        )
+        self.admission = Admission(
+            failure_domain=settings.vm.failure_domain,
+            permits=self.permits,
+            health=self.health,
+            clock=time.monotonic,
+            random=random.Random(self.incarnation).random,
+            closed_regions=self.links.closed_regions,
+        )
+        self.relay = RelayHandler(
+            guard=OpenGuard(),
+            admission=self.admission,
+            exchange=Exchange(
+                self.connections, self.health, self.links, time.monotonic
+            ),
+            breaks=self.breaks,
+            metrics=self.metrics,
+            clock=time.monotonic,
+        )
+        self._runners: list[web.BaseRunner] = []
         self._operator_server: Server | None = None
         self._components: tuple[Component, ...] = (
             self.platform,
@@ -70,14 +111,19 @@
     async def start(self) -> None:
         """Start all components, then listen."""
         self.follower.subscribe(self._on_configuration)
+        self.permits.subscribe(self.admission.permits_changed)
         for component in self._components:
             await component.start()
         await self._refresh_members()
         self.timer.subscribe(MEMBERS_PERIOD_SECONDS, self._refresh_members)
         self.timer.subscribe(PERMITS_PERIOD_SECONDS, self.permits.tick)
         self.timer.subscribe(REFRESH_SECONDS, self.steering.refresh)
-        await self._listen(self._caller_application(), self.settings.caller)
-        await self._listen(self._operations_application(), self.settings.operations)
+        self.timer.subscribe(POLL_PERIOD_SECONDS, self.load.poll)
+        lookup = LookupHandler(self.steering, self.metrics)
+        caller = web.ServerRunner(caller_server(lookup.handle, self.relay.handle))
+        await self._listen(caller, self.settings.caller)
+        operations = web.AppRunner(self._operations_application(), access_log=None)
+        await self._listen(operations, self.settings.operations)
         await self._listen_for_operators()
         logger.info('{} is up', self.settings.vm.id)
 
@@ -100,6 +146,12 @@
         self.peers.configuration_version = configuration.version
         self.permits.set_configuration(configuration)
         self.steering.set_configuration(configuration)
+        self.health.set_configuration(configuration, time.monotonic())
+        self.admission.set_configuration(configuration)
+        self.relay.set_configuration(configuration)
+        self.links.set_configuration(configuration)
+        self.load.set_configuration(configuration)
+        self.connections.keep_only(self.health.by_server)
 
     async def _refresh_members(self) -> None:
         await self.members.refresh(self.follower.current)
@@ -107,18 +159,7 @@
         if self.members.own is not None:
             self.peers.ordinal = self.members.own.ordinal
             self.permits.set_ordinal(self.members.own.ordinal)
-
-    def _caller_application(self) -> web.Application:
-        lookup = LookupHandler(self.steering, self.metrics)
-        relay = RelayHandler(
-            self.settings, self.follower, self.permits, self.connections, self.metrics
-        )
-        application = web.Application()
-        application.router.add_get('/v1/lookup', lookup.handle)
-        application.router.add_route(
-            '*', '/v1/services/{service}/{path:.*}', relay.handle
-        )
-        return application
+            self.load.set_ordinal(self.members.own.ordinal)
 
     def _operations_application(self) -> web.Application:
         application = web.Application()
@@ -138,16 +179,7 @@
     async def _metrics(self, _: web.Request) -> web.Response:
         return web.Response(body=generate_latest(self.metrics.registry))
 
-    async def _listen(
-        self, application: web.Application, address: ListenSettings
-    ) -> None:
-        runner = web.AppRunner(
-            application,
-            access_log=None,
-            handler_cancellation=True,
-            max_field_size=MAX_HEADER_BYTES,
-            max_line_size=MAX_HEADER_BYTES,
-        )
+    async def _listen(self, runner: web.BaseRunner, address: ListenSettings) -> None:
         await runner.setup()
         self._runners.append(runner)
         try:
--- a/packages/daisylift-node/src/daisylift_node/process/metrics.py
+++ b/packages/daisylift-node/src/daisylift_node/process/metrics.py
@@ -43,8 +43,26 @@
         )
         self.retries = Counter(
             'daisylift_retries',
-            'Repeated attempts by service and reason.',
-            ['service', 'reason'],
+            'Failed tries by service, reason, and whether another was granted.',
+            ['service', 'reason', 'verdict'],
+            registry=self.registry,
+        )
+        self.link_bytes = Counter(
+            'daisylift_link_bytes',
+            'Bytes sent or asked for over a link between regions.',
+            ['source', 'destination'],
+            registry=self.registry,
+        )
+        self.load_polls = Counter(
+            'daisylift_load_polls',
+            'Polls of backend servers by result.',
+            ['result'],
+            registry=self.registry,
+        )
+        self.notices = Counter(
+            'daisylift_notices',
+            'Notices to and from peers by kind and direction.',
+            ['kind', 'direction'],
             registry=self.registry,
         )
         self.platform_calls = Counter(
--- a/packages/daisylift-node/src/daisylift_node/request/lookup.py
+++ b/packages/daisylift-node/src/daisylift_node/request/lookup.py
@@ -51,7 +51,7 @@
         self._steering = steering
         self._metrics = metrics
 
-    async def handle(self, request: web.Request) -> web.Response:
+    async def handle(self, request: web.BaseRequest) -> web.Response:
         """Answer ``GET /v1/lookup?service=S&client=IP`` (or ``block=CIDR``)."""
         name = request.query.get('service', '')
         answer = self.answer(name, _client_text(request))
@@ -93,7 +93,7 @@
         return self._steering.configuration.index.services_by_name.get(name)
 
 
-def _client_text(request: web.Request) -> str:
+def _client_text(request: web.BaseRequest) -> str:
     query = request.query
     return query.get('client') or query.get('block') or request.remote or ''
 
