--- /dev/null
+++ b/bench/idle.py
@@ -0,0 +1,161 @@
+"""What control costs a node while nothing changes: processor time, memory, messages.
+
+Run it with ``python -m bench.idle [NODES ...]``. Real node processes on loopback; the
+memory is shown beside that of a process which only loads the libraries.
+"""
+
+import argparse
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.request
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from bench.tables import median_of, print_machine, print_table
+from tests.fakes.fleet import Fleet, NodeProcess
+
+EXAMPLE = Path(__file__).resolve().parents[1] / 'examples' / 'kanga' / 'policy.json'
+DEFAULT_FLEETS = (3, 7, 14, 28)
+SETTLE_SECONDS = 6.0
+WATCH_SECONDS = 20.0
+MEGABYTE = 1e6
+TICKS_PER_SECOND = os.sysconf('SC_CLK_TCK')
+PAGE_BYTES = os.sysconf('SC_PAGE_SIZE')
+LIBRARIES = (
+    'import uvloop, aiohttp.web, grpclib.server, google.protobuf.json_format, '
+    'pydantic, aiomisc, loguru, returns.result, absl.flags, prometheus_client; '
+    'input()'
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """What one node had used at a moment."""
+
+    at: float
+    cpu_seconds: float
+    memory_bytes: int
+    datagrams: float
+    peer_bytes: float
+
+
+def main() -> None:
+    """Measure fleets of the sizes on the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('nodes', nargs='*', type=int, default=list(DEFAULT_FLEETS))
+    print_machine()
+    libraries = _library_memory()
+    print(f'a process that only loads the libraries: {libraries / MEGABYTE:.1f} MB')
+    rows = [_measure(count, libraries) for count in parser.parse_args().nodes]
+    print_table(
+        f'idle control of one node over {WATCH_SECONDS:.0f} s (medians over nodes)',
+        (
+            'nodes',
+            'CPU ms/s',
+            'memory MB',
+            'MB over the libraries',
+            'datagrams/s',
+            'peer bytes/s',
+            'platform calls/s, all nodes',
+        ),
+        rows,
+    )
+
+
+def _measure(count: int, libraries: int) -> tuple[object, ...]:
+    policy = json.loads(EXAMPLE.read_text())
+    domains = _spread_roster(policy, count)
+    with tempfile.TemporaryDirectory() as directory:
+        fleet = Fleet(directory=Path(directory), policy=policy)
+        try:
+            fleet.start(domains)
+            fleet.put_policy()
+            time.sleep(SETTLE_SECONDS)
+            calls = _platform_calls(fleet)
+            before = [_usage(node) for node in fleet.nodes]
+            time.sleep(WATCH_SECONDS)
+            after = [_usage(node) for node in fleet.nodes]
+            calls = _platform_calls(fleet) - calls
+        finally:
+            fleet.stop()
+    memory = median_of([usage.memory_bytes for usage in after])
+    return (
+        count,
+        f'{_rate(before, after, "cpu_seconds") * 1000:.2f}',
+        f'{memory / MEGABYTE:.1f}',
+        f'{(memory - libraries) / MEGABYTE:.1f}',
+        f'{_rate(before, after, "datagrams"):.1f}',
+        f'{_rate(before, after, "peer_bytes"):.0f}',
+        f'{calls / WATCH_SECONDS:.1f}',
+    )
+
+
+def _spread_roster(policy: dict[str, Any], count: int) -> list[str]:
+    names = [domain['name'] for domain in policy['failure_domains']]
+    domains = [names[number % len(names)] for number in range(count)]
+    policy['roster'] = [
+        {'ordinal': number, 'failure_domain': domain}
+        for number, domain in enumerate(domains)
+    ]
+    return domains
+
+
+def _rate(before: list[Usage], after: list[Usage], field: str) -> float:
+    return median_of(
+        [
+            (getattr(b, field) - getattr(a, field)) / (b.at - a.at)
+            for a, b in zip(before, after, strict=True)
+        ]
+    )
+
+
+def _usage(node: NodeProcess) -> Usage:
+    metrics = _metrics(node)
+    pid = node.process.pid
+    ticks = Path(f'/proc/{pid}/stat').read_text().rpartition(')')[2].split()[11:13]
+    return Usage(
+        at=time.monotonic(),
+        cpu_seconds=sum(int(tick) for tick in ticks) / TICKS_PER_SECOND,
+        memory_bytes=_resident_bytes(pid),
+        datagrams=_total(metrics, 'daisylift_peer_datagrams_total'),
+        peer_bytes=_total(metrics, 'daisylift_peer_bytes_total'),
+    )
+
+
+def _resident_bytes(pid: int) -> int:
+    return int(Path(f'/proc/{pid}/statm').read_text().split()[1]) * PAGE_BYTES
+
+
+def _library_memory() -> int:
+    process = subprocess.Popen([sys.executable, '-c', LIBRARIES], stdin=subprocess.PIPE)
+    try:
+        time.sleep(2.0)
+        return _resident_bytes(process.pid)
+    finally:
+        process.communicate(b'\n')
+
+
+def _metrics(node: NodeProcess) -> list[str]:
+    with urllib.request.urlopen(f'{node.operations_url}/metrics') as answer:
+        return answer.read().decode().splitlines()
+
+
+def _total(metrics: list[str], name: str) -> float:
+    return sum(
+        float(line.rpartition(' ')[2]) for line in metrics if line.startswith(name)
+    )
+
+
+def _platform_calls(fleet: Fleet) -> int:
+    url = f'http://127.0.0.1:{fleet.platform_port}/control'
+    with urllib.request.urlopen(url) as answer:
+        return sum(json.load(answer)['calls'].values())
+
+
+if __name__ == '__main__':
+    main()
