--- a/packages/daisylift-node/src/daisylift_node/request/admission.py
+++ b/packages/daisylift-node/src/daisylift_node/request/admission.py
@@ -151,6 +151,7 @@
         server = queue.table.by_name.get(attempt.key.server)
         if server is not None:
             server.in_flight -= 1
+            queue.table.learn(server)
         self.server_changed(attempt.key)
 
     def waiting(self, service: str) -> int:
--- a/packages/daisylift/src/daisylift/decisions/routing.py
+++ b/packages/daisylift/src/daisylift/decisions/routing.py
@@ -18,6 +18,8 @@
 RECHECK_SECONDS = 0.05
 DISTANCE_SECONDS = (0.002, 0.004, 0.042)
 WORK_SECONDS = 0.02
+WORK_WEIGHT = 0.02
+MIN_WORK_SECONDS = 0.0005
 
 NOWHERE: frozenset[str] = frozenset()
 
@@ -51,9 +53,12 @@
         held = self.free + self.in_flight
         return self.in_flight < self.health.usable_slots(held, now)
 
-    def expected_seconds(self, now: float) -> float:
-        """Return about how long a request would take there."""
-        usual = WORK_SECONDS + DISTANCE_SECONDS[self.distance]
+    def expected_seconds(self, now: float, work_seconds: float) -> float:
+        """Return about how long a request would take there.
+
+        ``work_seconds`` is what requests of the service usually take.
+        """
+        usual = work_seconds + DISTANCE_SECONDS[self.distance]
         latency = self.health.expected_latency(usual, now)
         own = self.in_flight / (self.free + self.in_flight)
         report = self.health.report
@@ -75,6 +80,7 @@
     """The servers of one service, keyed by name and indexed for the choice."""
 
     by_name: dict[str, RoutedServer] = field(default_factory=dict)
+    work_seconds: float = WORK_SECONDS
     _groups: dict[tuple[int, str], _Group] = field(default_factory=dict)
     _parked: list[tuple[float, str]] = field(default_factory=list)
 
@@ -96,6 +102,14 @@
         else:
             self._exclude(server)
 
+    def learn(self, server: RoutedServer) -> None:
+        """Draw what is usual for the service to the server's latency figure."""
+        latency = server.health.latency_seconds
+        if latency is None:
+            return
+        work = max(MIN_WORK_SECONDS, latency - DISTANCE_SECONDS[server.distance])
+        self.work_seconds += WORK_WEIGHT * (work - self.work_seconds)
+
     def choose(
         self,
         now: float,
@@ -105,22 +119,23 @@
     ) -> RoutedServer | None:
         """Return a server with room, or None.
 
-        The nearest wins unless one farther away is expected to be clearly faster.
+        The nearest wins unless one farther away is expected to be clearly faster; so
+        those farther away are not looked at while the nearest is as fast as usual.
         Servers named in ``excluded`` and all of ``closed_regions`` are passed over.
         """
         self._unpark(now)
         best: RoutedServer | None = None
         best_seconds = 0.0
         for group in self._groups.values():
-            least_seconds = DISTANCE_SECONDS[group.distance] * EQUAL_FITNESS
-            if best is not None and best_seconds <= least_seconds:
+            usual = self.work_seconds + DISTANCE_SECONDS[group.distance]
+            if best is not None and best_seconds <= usual * EQUAL_FITNESS:
                 break
             if group.region in closed_regions:
                 continue
             found = self._best_of(group.members, now, random, excluded)
             if found is None:
                 continue
-            seconds = found.expected_seconds(now)
+            seconds = found.expected_seconds(now, self.work_seconds)
             if best is None or seconds * EQUAL_FITNESS < best_seconds:
                 best, best_seconds = found, seconds
         return best
@@ -146,7 +161,7 @@
             if server.name in excluded:
                 wanted += 1
                 continue
-            seconds = server.expected_seconds(now)
+            seconds = server.expected_seconds(now, self.work_seconds)
             if best is None or seconds < best_seconds:
                 best, best_seconds = server, seconds
         return best
