Let answers go into a sink, so that a guard may keep them

Cause: the exchange wrote to the caller itself, so at-most-once could not keep an answer nor outlive a caller that goes away; the body could be read ahead only once. Ruled out: a recorder beside the caller's answer, as its absence of errors would still end the try when the caller is gone. Before: Call.recorder. After: Call.sink (start, write, finish, break_off; the caller's own is Call.caller), CallerBody.read_ahead(limit) can be called again, endings carry their outcome, and the mark of a forwarded request is Daisylift-Forwarded-By.

--- a/packages/daisylift-node/src/daisylift_node/request/answer.py
+++ b/packages/daisylift-node/src/daisylift_node/request/answer.py
@@ -1,9 +1,10 @@
-"""Passes a backend server's answer to the caller, whole or visibly broken off."""
+"""Where an answer goes, and how it gets there whole or visibly broken off."""
 
 import asyncio
 import socket
 import struct
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from typing import Protocol
 
 import aiohttp
 from aiohttp import web
@@ -11,62 +12,116 @@
 from daisylift import headers
 from daisylift.outcome import Outcome
 from daisylift_node.connection.upstream import READ_CHUNK_BYTES
-from daisylift_node.request.call import Call
 from daisylift_node.request.ending import Answered, BrokenOff, Ending
 from daisylift_node.request.problem import Reason, unknown
 
 INTERNAL_HEADERS = frozenset(
     name.lower() for name in (headers.LOAD, headers.DRAINING, headers.OUTCOME)
 )
-
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
+HeaderPairs = Sequence[tuple[str, str]]
 Pace = Callable[[int], Awaitable[None]]
 
 
-def answer_head(
-    upstream: aiohttp.ClientResponse, outcome: Outcome
-) -> web.StreamResponse:
-    """Return the answer for the caller, with all but its body."""
-    answer = web.StreamResponse(status=upstream.status, reason=upstream.reason)
+class AnswerSink(Protocol):
+    """Takes one answer: the start, its chunks, and an end or a break."""
+
+    async def start(self, status: int, fields: HeaderPairs) -> None:
+        """Take the status and the headers."""
+
+    async def write(self, chunk: bytes) -> None:
+        """Take the next bytes of the body."""
+
+    async def finish(self) -> None:
+        """Take note that the answer is whole."""
+
+    def break_off(self) -> None:
+        """Take note that the answer stays short."""
+
+
+class CallerAnswer:
+    """Passes the answer on to the caller as it comes."""
+
+    def __init__(self, request: web.BaseRequest) -> None:
+        self._request = request
+        self._response: web.StreamResponse | None = None
+
+    @property
+    def response(self) -> web.StreamResponse:
+        """Return the answer that was started."""
+        if self._response is None:
+            raise RuntimeError('no answer was started')
+        return self._response
+
+    async def start(self, status: int, fields: HeaderPairs) -> None:
+        """Send the status and the headers."""
+        self._response = web.StreamResponse(status=status)
+        for name, value in fields:
+            self._response.headers.add(name, value)
+        await self._response.prepare(self._request)
+
+    async def write(self, chunk: bytes) -> None:
+        """Send the next bytes of the body."""
+        await self.response.write(chunk)
+
+    async def finish(self) -> None:
+        """End the answer."""
+        await self.response.write_eof()
+
+    def break_off(self) -> None:
+        """Reset the caller's connection, so that a short answer can't pass as whole.
+
+        An HTTP/1.0 answer without a length ends with its connection; only a reset
+        tells the caller that this end is none.
+        """
+        transport = self._request.transport
+        if transport is None:
+            return
+        connection = transport.get_extra_info('socket')
+        if connection is not None:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        transport.abort()
+
+
+def answer_fields(upstream: aiohttp.ClientResponse, outcome: Outcome) -> HeaderPairs:
+    """Return the headers of an answer for the caller."""
     connection = upstream.headers.getall('Connection', ())
-    for name, value in headers.end_to_end(upstream.headers.items(), connection):
-        if name.lower() not in INTERNAL_HEADERS:
-            answer.headers.add(name, value)
-    answer.headers[headers.OUTCOME] = outcome.value
-    return answer
+    fields = [
+        (name, value)
+        for name, value in headers.end_to_end(upstream.headers.items(), connection)
+        if name.lower() not in INTERNAL_HEADERS
+    ]
+    fields.append((headers.OUTCOME, outcome.value))
+    return fields
 
 
 async def pass_answer(
-    call: Call,
     upstream: aiohttp.ClientResponse,
-    answer: web.StreamResponse,
+    sink: AnswerSink,
+    fields: HeaderPairs,
     pace: Pace,
 ) -> Ending:
-    """Stream the answer; cut the caller's connection when it can't be ended.
+    """Stream the answer into the sink; break it off when it can't be ended.
 
-    A cancellation, by the deadline or by a caller that goes away, cuts it as well.
+    A cancellation, by the deadline or by a caller that goes away, does so as well.
     """
-    if call.recorder is not None:
-        call.recorder.begin(answer.status, answer.headers)
     try:
-        await answer.prepare(call.request)
-        async for part in _read(upstream):
-            await pace(len(part))
-            if call.recorder is not None:
-                call.recorder.write(part)
-            await answer.write(part)
-        await answer.write_eof()
+        await sink.start(upstream.status, fields)
+        async for chunk in _read(upstream):
+            await pace(len(chunk))
+            await sink.write(chunk)
+        await sink.finish()
     except (_UpstreamError, ConnectionError) as error:
         upstream.close()
-        return _broken_off(call, answer, error)
+        sink.break_off()
+        refusal = unknown(Reason.CONNECTION_LOST, f'the answer broke off: {error}')
+        return BrokenOff(refusal, isinstance(error, _UpstreamError))
     except asyncio.CancelledError:
         upstream.close()
-        _cut(call.request)
+        sink.break_off()
         raise
-    if call.recorder is not None:
-        call.recorder.end()
-    return Answered(answer)
+    return Answered()
 
 
 class _UpstreamError(Exception):
@@ -75,28 +130,7 @@
 
 async def _read(upstream: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
     try:
-        async for part in upstream.content.iter_chunked(READ_CHUNK_BYTES):
-            yield part
+        async for chunk in upstream.content.iter_chunked(READ_CHUNK_BYTES):
+            yield chunk
     except (aiohttp.ClientError, OSError) as error:
         raise _UpstreamError(type(error).__name__) from error
-
-
-def _broken_off(call: Call, answer: web.StreamResponse, error: Exception) -> BrokenOff:
-    _cut(call.request)
-    refusal = unknown(Reason.CONNECTION_LOST, f'the answer broke off: {error}')
-    return BrokenOff(answer, refusal, isinstance(error, _UpstreamError))
-
-
-def _cut(request: web.BaseRequest) -> None:
-    """Reset the caller's connection, so that a short answer can't pass as whole.
-
-    An HTTP/1.0 answer without a length ends with its connection; only a reset tells
-    the caller that this end is none.
-    """
-    transport = request.transport
-    if transport is None:
-        return
-    connection = transport.get_extra_info('socket')
-    if connection is not None:
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-    transport.abort()
--- a/packages/daisylift-node/src/daisylift_node/request/body.py
+++ b/packages/daisylift-node/src/daisylift_node/request/body.py
@@ -40,15 +40,23 @@
         """Say whether the body can be sent, or sent again, as a whole."""
         return not self._streamed
 
-    async def read_ahead(self) -> None:
-        """Read up to READ_AHEAD_BYTES; raise CallerBodyError when that fails."""
+    @property
+    def is_whole(self) -> bool:
+        """Say whether ``head`` is all of the body."""
+        return self._whole
+
+    async def read_ahead(self, limit: int = READ_AHEAD_BYTES) -> None:
+        """Read on until ``head`` has so many bytes or all there are.
+
+        Raise CallerBodyError when the caller's side breaks.
+        """
         if self._whole:
             return
         await self._continue()
-        parts = []
-        size = 0
-        while size < READ_AHEAD_BYTES:
-            part = await self._read(READ_AHEAD_BYTES - size)
+        parts = [self.head]
+        size = len(self.head)
+        while size < limit:
+            part = await self._read(limit - size)
             if not part:
                 self._whole = True
                 break
--- a/packages/daisylift-node/src/daisylift_node/request/call.py
+++ b/packages/daisylift-node/src/daisylift_node/request/call.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Protocol
 
 from aiohttp import web
 from returns.result import Failure, Result, Success
@@ -11,6 +10,7 @@
 from daisylift.decisions.breaking import Digest, request_digest
 from daisylift.decisions.deadlines import Deadline, take_deadline
 from daisylift.models import Service
+from daisylift_node.request.answer import AnswerSink, CallerAnswer
 from daisylift_node.request.body import CallerBody
 from daisylift_node.request.problem import Reason, Refusal, did_not_run
 
@@ -18,25 +18,13 @@
 MAX_TARGET_BYTES = 8 * 1024
 
 
-class AnswerRecorder(Protocol):
-    """Is shown an answer while it goes to the caller."""
-
-    def begin(self, status: int, fields: Mapping[str, str]) -> None:
-        """Note the status and the headers."""
-
-    def write(self, part: bytes) -> None:
-        """Note a part of the body."""
-
-    def end(self) -> None:
-        """Note that the answer is whole."""
-
-
 @dataclass(slots=True)
 class Call:
     """A checked request on its way through the node.
 
     ``target`` is the path and query for the backend server, byte for byte as the
-    caller wrote them.
+    caller wrote them. The answer goes into ``sink``, which is ``caller`` unless a
+    guard puts another before it.
     """
 
     request: web.BaseRequest
@@ -44,8 +32,9 @@
     target: str
     deadline: Deadline
     body: CallerBody
-    forwarded: bool = False
-    recorder: AnswerRecorder | None = None
+    caller: CallerAnswer
+    sink: AnswerSink
+    is_forwarded: bool = False
 
     @property
     def method(self) -> str:
@@ -103,13 +92,16 @@
     request: web.BaseRequest, service: Service, target: str, deadline: Deadline
 ) -> Call:
     expects_continue = 'Expect' in request.headers
+    caller = CallerAnswer(request)
     return Call(
         request=request,
         service=service,
         target=target,
         deadline=deadline,
         body=CallerBody(request, expects_continue),
-        forwarded=headers.FORWARDED in request.headers,
+        caller=caller,
+        sink=caller,
+        is_forwarded=headers.FORWARDED_BY in request.headers,
     )
 
 
--- a/packages/daisylift-node/src/daisylift_node/request/ending.py
+++ b/packages/daisylift-node/src/daisylift_node/request/ending.py
@@ -2,17 +2,15 @@
 
 from dataclasses import dataclass
 
-from aiohttp import web
-
 from daisylift.outcome import Outcome
 from daisylift_node.request.problem import Refusal
 
 
 @dataclass(frozen=True, slots=True)
 class Answered:
-    """The caller got the whole answer of a backend server."""
+    """The whole answer of a backend server went into the call's sink."""
 
-    response: web.StreamResponse
+    outcome: Outcome = Outcome.ANSWERED
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,14 +20,18 @@
     ``broke_connection`` says that the backend server broke its connection off.
     """
 
-    response: web.StreamResponse
-    reason: Refusal
+    refusal: Refusal
     broke_connection: bool = False
 
+    @property
+    def outcome(self) -> Outcome:
+        """Return what is known of the execution."""
+        return self.refusal.outcome
+
 
 @dataclass(frozen=True, slots=True)
 class Refused:
-    """No byte of an answer went to the caller yet.
+    """No byte of an answer went to the caller.
 
     ``reached_server`` says that the backend server spent work on the try;
     ``broke_connection`` that it broke the connection in the course of it.
@@ -39,16 +41,10 @@
     reached_server: bool = False
     broke_connection: bool = False
 
-
-Ending = Answered | BrokenOff | Refused
+    @property
+    def outcome(self) -> Outcome:
+        """Return what is known of the execution."""
+        return self.refusal.outcome
 
 
-def outcome_of(ending: Ending) -> Outcome:
-    """Return what is known of the execution."""
-    match ending:
-        case Answered():
-            return Outcome.ANSWERED
-        case BrokenOff():
-            return Outcome.UNKNOWN
-        case Refused(refusal=refusal):
-            return refusal.outcome
+Ending = Answered | BrokenOff | Refused
--- a/packages/daisylift-node/src/daisylift_node/request/exchange.py
+++ b/packages/daisylift-node/src/daisylift_node/request/exchange.py
@@ -6,7 +6,6 @@
 from functools import partial
 
 import aiohttp
-from aiohttp import web
 from multidict import CIMultiDict
 from yarl import URL
 
@@ -21,9 +20,9 @@
 from daisylift_node.process.health import HealthBook
 from daisylift_node.process.links import LinkPacer
 from daisylift_node.request.admission import Attempt
-from daisylift_node.request.answer import answer_head, pass_answer
+from daisylift_node.request.answer import answer_fields, pass_answer
 from daisylift_node.request.call import Call
-from daisylift_node.request.ending import Answered, BrokenOff, Ending, Refused
+from daisylift_node.request.ending import BrokenOff, Ending, Refused
 from daisylift_node.request.problem import Reason, did_not_run, unknown
 
 SERVICE_UNAVAILABLE = 503
@@ -36,10 +35,10 @@
 
 @dataclass(slots=True)
 class Progress:
-    """How far a try has come; ``answer`` is set once its head has arrived."""
+    """How far a try has come."""
 
     dispatch: Dispatch
-    answer: web.StreamResponse | None = None
+    answer_begun: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,8 +92,9 @@
                         Reason.SERVER_REFUSED, 'the backend server took nothing on'
                     )
                     return Refused(refusal, reached_server=True)
-                progress.answer = answer_head(upstream, Outcome.ANSWERED)
-                ending = await pass_answer(call, upstream, progress.answer, download)
+                progress.answer_begun = True
+                answer = answer_fields(upstream, Outcome.ANSWERED)
+                ending = await pass_answer(upstream, call.sink, answer, download)
         if isinstance(ending, BrokenOff) and ending.broke_connection:
             self.health.failed(attempt.key, self.clock())
         return ending
@@ -129,13 +129,7 @@
 
 def ended_in_doubt(ending: Ending) -> bool:
     """Say whether work for the call may still be running at the backend server."""
-    match ending:
-        case Answered():
-            return False
-        case BrokenOff():
-            return True
-        case Refused(refusal=refusal):
-            return refusal.outcome is not Outcome.DID_NOT_RUN
+    return ending.outcome is Outcome.UNKNOWN
 
 
 def _late(progress: Progress) -> Ending:
@@ -143,8 +137,8 @@
         detail = 'too late to send the request'
         return Refused(did_not_run(Reason.DEADLINE_PASSED, detail))
     refusal = unknown(Reason.DEADLINE_PASSED, 'no whole answer before the deadline')
-    if progress.answer is not None and progress.answer.prepared:
-        return BrokenOff(progress.answer, refusal)
+    if progress.answer_begun:
+        return BrokenOff(refusal)
     return Refused(refusal, reached_server=True)
 
 
@@ -171,7 +165,7 @@
     request = call.request
     connection = request.headers.getall('Connection', ())
     fields = CIMultiDict(headers.end_to_end(request.headers.items(), connection))
-    for name in ('Expect', headers.FORWARDED, headers.TIMEOUT_MS, headers.OUTCOME):
+    for name in ('Expect', headers.FORWARDED_BY, headers.TIMEOUT_MS, headers.OUTCOME):
         fields.popall(name, None)
     before = fields.popall(headers.FORWARDED_FOR, [])
     fields[headers.FORWARDED_FOR] = ', '.join([*before, request.remote or 'unknown'])
--- a/packages/daisylift-node/src/daisylift_node/request/relay.py
+++ b/packages/daisylift-node/src/daisylift_node/request/relay.py
@@ -26,7 +26,6 @@
     BrokenOff,
     Ending,
     Refused,
-    outcome_of,
 )
 from daisylift_node.request.exchange import Exchange, ended_in_doubt
 from daisylift_node.request.guard import Guard
@@ -87,12 +86,12 @@
         with self._metrics.request_seconds.labels(service=name).time():
             ending = await self._run(call)
         match ending:
-            case Answered(response=response):
-                self._count(name, Outcome.ANSWERED)
-                return response
-            case BrokenOff(response=response, reason=refusal):
+            case Answered(outcome=outcome):
+                self._count(name, outcome)
+                return call.caller.response
+            case BrokenOff(refusal=refusal):
                 self._count_refusal(name, refusal)
-                return response
+                return call.caller.response
             case Refused(refusal=refusal):
                 return self._refuse(name, refusal)
 
@@ -131,7 +130,7 @@
             last = _graver(last, ending)
             tries += 1
             tried |= {attempt.key.server}
-            may_have_run += ending.refusal.outcome is not Outcome.DID_NOT_RUN
+            may_have_run += ending.outcome is not Outcome.DID_NOT_RUN
             failed = self._failed(call, ending, tries, may_have_run)
             verdict = judge_retry(failed, call.is_idempotent, budget)
             self._count_retry(call, ending, verdict)
@@ -159,7 +158,7 @@
         self, call: Call, ending: Refused, tries: int, may_have_run: int
     ) -> FailedTry:
         return FailedTry(
-            outcome=ending.refusal.outcome,
+            outcome=ending.outcome,
             reached_server=ending.reached_server,
             answer_begun=False,
             body_replayable=call.body.is_replayable,
@@ -194,7 +193,7 @@
 
 def _graver(last: Refused | None, ending: Refused) -> Refused:
     """Return the ending to tell: once a try may have run, that stays true."""
-    if last is None or outcome_of(last) is Outcome.DID_NOT_RUN:
+    if last is None or last.outcome is Outcome.DID_NOT_RUN:
         return ending
     return last
 
--- a/packages/daisylift/src/daisylift/headers.py
+++ b/packages/daisylift/src/daisylift/headers.py
@@ -9,7 +9,7 @@
 LOAD = 'Daisylift-Load'
 DRAINING = 'Daisylift-Draining'
 SERVER = 'Daisylift-Server'
-FORWARDED = 'Daisylift-Forwarded'
+FORWARDED_BY = 'Daisylift-Forwarded-By'
 FORWARDED_FOR = 'X-Forwarded-For'
 
 HOP_BY_HOP = frozenset(
