--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -202,3 +202,19 @@
     (ledger,) = make_ledgers(configurations, [0]).values()
     assert ledger.free_slots(ServerKey('till', 'till-3'), seconds) == expected
     assert ledger.free_slots(ServerKey('till', 'till-4'), seconds) == 4
+
+
+def test_server_new_to_a_known_configuration_gets_its_slots_one_after_another():
+    more = {**SERVERS, 'till-new': 7}
+    configurations = follow(make_policy(7), make_policy(7, more))
+    ledgers = make_ledgers(configurations, range(7))
+    tell_all(ledgers, 0.0)
+    new = ServerKey('till', 'till-new')
+    known = ServerKey('till', 'till-0')
+
+    def free(key, now):
+        return sum(ledger.free_slots(key, now) for ledger in ledgers.values())
+
+    seconds = configurations[-1].policy.services[0].cold_start_seconds
+    assert free(known, 0.0) == 4
+    assert [free(new, seconds * share) for share in (0, 0.5, 1)] == [1, 4, 7]
