Keep members by probing and news between peers

Cause: members were the platform's claims, listed by every node each second (930 nodes would spend half the store's reads), and a dead or leaving VM stayed in look-ups. Ruled out: a message per node per second; the platform's list alone, as it lags. Before: 1 list call/s a node. After: each node probes one other a second, passes news on a bounded number of times, and compares table digests; two VMs of a failure domain read the VM list each 5 s and the claims each 30 s. Conclusion: gone needs silence and the list; a state only steers.

--- a/packages/daisylift-admin/src/daisylift_admin/output/formatters.py
+++ b/packages/daisylift-admin/src/daisylift_admin/output/formatters.py
@@ -44,7 +44,7 @@
     lines = [f'{reply.vm} at version {reply.version}']
     lines.extend(
         f'{member.ordinal:>4}  {member.vm:<16} {member.failure_domain:<16} '
-        f'{member.caller_address}'
+        f'{member.state:<8} {member.caller_address}'
         for member in reply.members
     )
     return '\n'.join(lines) + '\n'
--- a/packages/daisylift-node/src/daisylift_node/config.py
+++ b/packages/daisylift-node/src/daisylift_node/config.py
@@ -9,6 +9,7 @@
 from pydantic import (
     AfterValidator,
     BaseModel,
+    BeforeValidator,
     ConfigDict,
     Field,
     HttpUrl,
@@ -63,6 +64,22 @@
     key: Key
 
 
+def _split_addresses(text: object) -> object:
+    if not isinstance(text, str):
+        return text
+    addresses = (word.rpartition(':') for word in text.replace(',', ' ').split())
+    return [{'host': host.strip('[]'), 'port': port} for host, _, port in addresses]
+
+
+class PeerSettings(KeyedListenSettings):
+    """The address for peers, and those of some others to ask if the platform is down.
+
+    In the file, ``seeds`` is a list of HOST:PORT.
+    """
+
+    seeds: Annotated[tuple[ListenSettings, ...], BeforeValidator(_split_addresses)] = ()
+
+
 class PlatformSettings(SettingsSection):
     """Where the platform's object API is, and how long one call may take."""
 
@@ -91,7 +108,7 @@
     caller: ListenSettings
     operations: ListenSettings
     operator: KeyedListenSettings
-    peer: KeyedListenSettings
+    peer: PeerSettings
     platform: PlatformSettings
     stop: StopSettings = StopSettings()
     log: LogSettings = LogSettings()
--- a/packages/daisylift-node/src/daisylift_node/process/application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/application.py
@@ -20,6 +20,7 @@
 from daisylift_node.process.links import LinkPacer
 from daisylift_node.process.load import POLL_PERIOD_SECONDS, LoadPoller
 from daisylift_node.process.members import Members
+from daisylift_node.process.membership import Membership
 from daisylift_node.process.metrics import Metrics
 from daisylift_node.process.notices import REPEAT_PERIOD_SECONDS, Notices
 from daisylift_node.process.operator import OperatorService
@@ -64,7 +65,19 @@
         self.connections = UpstreamConnections()
         self.follower = ConfigurationFollower(self.platform, self.metrics)
         self.writer = ChangeWriter(self.follower, self.metrics)
-        self.members = Members(settings, self.incarnation, self.platform)
+        self.membership = Membership(
+            settings,
+            self.incarnation,
+            self.peers,
+            self.platform,
+            self.timer,
+            self.metrics,
+            clock=clock.now,
+            choice=random.Random(),
+        )
+        self.members = Members(
+            settings, self.incarnation, self.platform, self.membership
+        )
         self.steering = Steering(self.members)
         self.permits = PermitPool()
         self.links = LinkPacer(settings.vm.failure_domain, clock.now, self.metrics)
@@ -101,6 +114,7 @@
         self._components: tuple[Component, ...] = (
             self.platform,
             self.peers,
+            self.membership,
             self.connections,
             self.follower,
             self.timer,
--- a/packages/daisylift-node/src/daisylift_node/process/members.py
+++ b/packages/daisylift-node/src/daisylift_node/process/members.py
@@ -1,53 +1,104 @@
 """The members of the fleet, and this VM's claim of a position in its roster."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from loguru import logger
 from pydantic import ValidationError
 from returns.result import Failure, Success
 
 from daisylift.decisions.configuration import Configuration
+from daisylift.decisions.membership import (
+    MemberDetails,
+    MemberRecord,
+    MemberState,
+    holders_by_ordinal,
+)
+from daisylift.decisions.vm_list import is_watcher
 from daisylift.models import Claim
 from daisylift_node.config import Settings
+from daisylift_node.process import clock
+from daisylift_node.process.membership import Membership
 from daisylift_node.process.platform import Conflict, PlatformClient, StoredObject
 
 KIND = 'claims'
+READ_PERIOD_SECONDS = 30.0
 
 
 @dataclass(frozen=True, slots=True)
 class Member:
-    """A VM that holds an ordinal of the roster."""
+    """A VM that holds an ordinal of the roster, and how it stands."""
 
     claim: Claim
+    state: MemberState = MemberState.ALIVE
 
     @property
     def caller_address(self) -> str:
         """Return where callers reach the VM, as host:port."""
         return f'{self.claim.caller_host}:{self.claim.caller_port}'
 
+    @property
+    def peer_address(self) -> tuple[str, int]:
+        """Return where peers reach the VM, as host and port."""
+        return self.claim.peer_host, self.claim.peer_port
+
 
-@dataclass(slots=True)
 class Members:
-    """Claims an ordinal for this VM and knows who holds the others."""
+    """Claims an ordinal for this VM and knows who holds the others.
+
+    Members come from the peers' word; the claims in the platform are read at the
+    start, and later by the few nodes that watch the platform, at a long period.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        incarnation: str,
+        platform: PlatformClient,
+        membership: Membership,
+    ) -> None:
+        self.settings = settings
+        self.incarnation = incarnation
+        self.platform = platform
+        self.membership = membership
+        self.own: Claim | None = None
+        self._by_ordinal: dict[int, Member] = {}
+        self._seen_changes = -1
+        self._read_at: float | None = None
 
-    settings: Settings
-    incarnation: str
-    platform: PlatformClient
-    by_ordinal: dict[int, Member] = field(default_factory=dict)
-    own: Claim | None = None
+    @property
+    def by_ordinal(self) -> dict[int, Member]:
+        """Return the members that hold ordinals, the gone ones included."""
+        table = self.membership.table
+        if self._seen_changes != table.changes:
+            self._seen_changes = table.changes
+            holders = holders_by_ordinal(table.by_vm.values())
+            self._by_ordinal = {o: _member(o, record) for o, record in holders.items()}
+        return self._by_ordinal
 
     async def refresh(self, configuration: Configuration) -> None:
-        """Read all claims; claim an ordinal of the roster if this VM has none."""
-        await self._read()
+        """Read the claims if it is time; claim an ordinal if this VM has none."""
+        now = clock.now()
+        if self._must_read(now):
+            await self._read(now)
         if self.own is None:
             await self._claim(configuration)
 
-    async def _read(self) -> None:
+    def _must_read(self, now: float) -> bool:
+        if self._read_at is None:
+            return True
+        if now - self._read_at < READ_PERIOD_SECONDS:
+            return False
+        return is_watcher(self.membership.table)
+
+    async def _read(self, now: float) -> None:
         listing = await self.platform.list(KIND)
         if isinstance(listing, Failure):
             return
-        claims = [c for o in listing.unwrap().objects if (c := _parse(o))]
-        self.by_ordinal = {claim.ordinal: Member(claim) for claim in claims}
+        self._read_at = now
+        for stored in listing.unwrap().objects:
+            claim = _parse(stored)
+            if claim is not None and not claim.released:
+                self.membership.learn(_record(claim))
 
     async def _claim(self, configuration: Configuration) -> None:
         for entry in configuration.policy.roster:
@@ -72,7 +123,7 @@
         if not isinstance(result, Success):
             return False
         self.own = claim
-        self.by_ordinal[ordinal] = Member(claim)
+        self.membership.say_ordinal(ordinal)
         logger.info('holds ordinal {}', ordinal)
         return True
 
@@ -90,6 +141,42 @@
         )
 
 
+def usable_members(by_ordinal: dict[int, Member]) -> list[Member]:
+    """Return whom callers may be sent to: the alive, else the suspect."""
+    for state in (MemberState.ALIVE, MemberState.SUSPECT):
+        usable = [member for member in by_ordinal.values() if member.state is state]
+        if usable:
+            return usable
+    return []
+
+
+def _member(ordinal: int, record: MemberRecord) -> Member:
+    details = record.details
+    claim = Claim(
+        ordinal=ordinal,
+        vm=record.vm,
+        incarnation=record.incarnation,
+        failure_domain=details.failure_domain,
+        caller_host=details.caller_address[0],
+        caller_port=details.caller_address[1],
+        peer_host=details.peer_address[0],
+        peer_port=details.peer_address[1],
+    )
+    return Member(claim, record.state)
+
+
+def _record(claim: Claim) -> MemberRecord:
+    """Return a claim as the first word about its holder; its own word goes before."""
+    details = MemberDetails(
+        number=0,
+        failure_domain=claim.failure_domain,
+        caller_address=(claim.caller_host, claim.caller_port),
+        peer_address=(claim.peer_host, claim.peer_port),
+        ordinal=claim.ordinal,
+    )
+    return MemberRecord(claim.vm, claim.incarnation, 0, details)
+
+
 def _parse(stored: StoredObject) -> Claim | None:
     try:
         return Claim.model_validate(stored.value)
--- a/packages/daisylift-node/src/daisylift_node/process/metrics.py
+++ b/packages/daisylift-node/src/daisylift_node/process/metrics.py
@@ -101,6 +101,12 @@
             ['result'],
             registry=self.registry,
         )
+        self.member_events = Counter(
+            'daisylift_member_events',
+            'Events of the membership by sort.',
+            ['event'],
+            registry=self.registry,
+        )
         self.request_seconds = Histogram(
             'daisylift_request_seconds',
             'Time from the request to the end of its answer.',
--- a/packages/daisylift-node/src/daisylift_node/process/operator.py
+++ b/packages/daisylift-node/src/daisylift_node/process/operator.py
@@ -149,6 +149,7 @@
                 vm=member.claim.vm,
                 failure_domain=member.claim.failure_domain,
                 caller_address=member.caller_address,
+                state=member.state.value,
             )
             for ordinal, member in sorted(self._members.by_ordinal.items())
         ]
--- a/packages/daisylift-node/src/daisylift_node/version/steering.py
+++ b/packages/daisylift-node/src/daisylift_node/version/steering.py
@@ -10,7 +10,7 @@
 from daisylift.decisions.limiter import CutLimiter
 from daisylift.decisions.state import UNKNOWN_HOME
 from daisylift.decisions.steering import Position, position_of, site_at
-from daisylift_node.process.members import Member, Members
+from daisylift_node.process.members import Member, Members, usable_members
 
 REFRESH_SECONDS = 0.5
 
@@ -69,16 +69,18 @@
     def _entry_vms(self) -> tuple[EntryVm, ...]:
         configuration = self.configuration
         region_by_site = configuration.index.region_by_site
+        by_ordinal = self._members.by_ordinal
+        usable = {member.claim.ordinal for member in usable_members(by_ordinal)}
         return tuple(
             EntryVm(
                 ordinal=ordinal,
                 failure_domain=member.claim.failure_domain,
                 region=region_by_site.get(member.claim.failure_domain, ''),
-                is_leaving=member.claim.released
+                is_leaving=ordinal not in usable
                 or ordinal in configuration.entry_drains
                 or member.claim.failure_domain in configuration.drained_sites,
             )
-            for ordinal, member in sorted(self._members.by_ordinal.items())
+            for ordinal, member in by_ordinal.items()
         )
 
 
--- /dev/null
+++ b/packages/daisylift/src/daisylift/decisions/member_messages.py
@@ -0,0 +1,91 @@
+"""Member records as they travel in the messages of ``peer.proto``."""
+
+import ipaddress
+
+from daisylift.decisions.membership import (
+    Health,
+    MemberDetails,
+    MemberRecord,
+    MemberTable,
+)
+from daisylift.models.policy import MAX_NAME_LENGTH, MAX_PORT
+from daisylift.schema import peer_pb2 as pb
+
+
+def update_of(record: MemberRecord, *, with_details: bool) -> pb.MemberUpdate:
+    """Return the record as a message."""
+    return pb.MemberUpdate(
+        vm=record.vm,
+        incarnation=int(record.incarnation, 16),
+        number=record.number,
+        health=int(record.health),
+        leaving=record.leaving,
+        stopped=record.stopped,
+        details=_details_of(record.details) if with_details else None,
+    )
+
+
+def record_of(update: pb.MemberUpdate, table: MemberTable) -> MemberRecord | None:
+    """Return the message as a record, or None when it can't be used.
+
+    Details that are left out are taken from the table.
+    """
+    if not 0 < len(update.vm) <= MAX_NAME_LENGTH:
+        return None
+    incarnation = f'{update.incarnation:016x}'
+    try:
+        health = Health(update.health)
+        details = _read_details(update, incarnation, table)
+    except ValueError:
+        return None
+    if details is None:
+        return None
+    return MemberRecord(
+        vm=update.vm,
+        incarnation=incarnation,
+        number=update.number,
+        details=details,
+        health=health,
+        leaving=update.leaving,
+        stopped=update.stopped,
+    )
+
+
+def _details_of(details: MemberDetails) -> pb.MemberDetails:
+    return pb.MemberDetails(
+        number=details.number,
+        failure_domain=details.failure_domain,
+        caller_host=details.caller_address[0],
+        caller_port=details.caller_address[1],
+        peer_host=details.peer_address[0],
+        peer_port=details.peer_address[1],
+        ordinal=details.ordinal,
+    )
+
+
+def _read_details(
+    update: pb.MemberUpdate, incarnation: str, table: MemberTable
+) -> MemberDetails | None:
+    if not update.HasField('details'):
+        known = table.by_vm.get(update.vm)
+        if known is None or known.incarnation != incarnation:
+            return None
+        return known.details
+    given = update.details
+    return MemberDetails(
+        number=given.number,
+        failure_domain=given.failure_domain[:MAX_NAME_LENGTH],
+        caller_address=(_host(given.caller_host), _port(given.caller_port)),
+        peer_address=(_host(given.peer_host), _port(given.peer_port)),
+        ordinal=given.ordinal if given.HasField('ordinal') else None,
+    )
+
+
+def _host(host: str) -> str:
+    return str(ipaddress.ip_address(host))
+
+
+def _port(port: int) -> int:
+    if not 0 < port <= MAX_PORT:
+        raise ValueError(f'{port} is not a port')
+    return port
--- /dev/null
+++ b/tests/member_world.py
@@ -0,0 +1,176 @@
+"""Several membership protocols on a virtual clock, with faults between them."""
+
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from daisylift.decisions.member_protocol import Address, MemberProtocol
+from daisylift.decisions.membership import MemberDetails, MemberRecord
+from daisylift.decisions.probing import TICK_SECONDS
+from daisylift.decisions.vm_list import is_watcher
+
+LIST_READ_TICKS = 20
+LISTS_KEPT = 200
+
+
+@dataclass(slots=True)
+class Process:
+    """One node's process; a frozen one keeps what arrives for later."""
+
+    vm: str
+    incarnation: str
+    address: Address
+    protocol: MemberProtocol
+    frozen: bool = False
+    waiting: list['Letter'] = field(default_factory=list)
+    seen_listed: set[str] = field(default_factory=set)
+
+
+@dataclass(frozen=True, slots=True)
+class Letter:
+    """A message under way."""
+
+    at: float
+    sender: str
+    incarnation: str
+    source: Address
+    to: Address
+    body: object
+
+
+@dataclass(slots=True)
+class MemberWorld:
+    """The processes, the network and the platform's list of a test."""
+
+    choice: random.Random
+    loss: float = 0.0
+    duplication: float = 0.0
+    delay_seconds: float = 0.0
+    list_lag_seconds: float = 0.0
+    now: float = 1000.0
+    processes: dict[str, Process] = field(default_factory=dict)
+    cut_off: set[str] = field(default_factory=set)
+    listed: dict[str, str] = field(default_factory=dict)
+    removed: set[str] = field(default_factory=set)
+    letters: list[Letter] = field(default_factory=list)
+    check: Callable[[], None] = lambda: None
+    _lists: deque[tuple[float, dict[str, str]]] = field(
+        default_factory=lambda: deque(maxlen=LISTS_KEPT)
+    )
+    _starts: int = 0
+    _ticks: int = 0
+
+    def start(self, vm: str, domain: str) -> None:
+        """Start the first or a later process of a VM."""
+        self._starts += 1
+        self.listed.setdefault(vm, 'running')
+        address = ('127.0.0.1', 1000 + int(vm.removeprefix('vm-')))
+        incarnation = f'{self._starts:016x}'
+        details = MemberDetails(1, domain, address, address)
+        seeds = [p.address for p in self.processes.values() if p.vm != vm]
+        self.processes[vm] = Process(
+            vm,
+            incarnation,
+            address,
+            MemberProtocol(
+                MemberRecord(vm, incarnation, 1, details), seeds, self.choice, self.now
+            ),
+        )
+
+    def kill(self, vm: str) -> None:
+        """End a process at once; its VM stays listed."""
+        del self.processes[vm]
+
+    def remove(self, vm: str) -> None:
+        """Take a VM off the platform's list; its process must have ended."""
+        self.listed.pop(vm, None)
+        self.removed.add(vm)
+
+    def leave(self, vm: str) -> None:
+        """Let a process say that it will stop."""
+        process = self.processes[vm]
+        process.protocol.say(self.now, ordinal=None, leaving=True)
+        self._collect(process)
+
+    def stop(self, vm: str) -> None:
+        """Let a process say that it has stopped, and end it."""
+        process = self.processes[vm]
+        process.protocol.say(self.now, ordinal=None, stopped=True)
+        self._collect(process)
+        del self.processes[vm]
+
+    def run(self, seconds: float) -> None:
+        """Let time pass, tick by tick."""
+        for _ in range(round(seconds / TICK_SECONDS)):
+            self.now += TICK_SECONDS
+            self._ticks += 1
+            self._lists.append((self.now, dict(self.listed)))
+            self._deliver()
+            for process in list(self.processes.values()):
+                if not process.frozen:
+                    self._let_run(process)
+            self.check()
+
+    def _let_run(self, process: Process) -> None:
+        for letter in process.waiting:
+            self._hand_over(process, letter)
+        process.waiting.clear()
+        process.protocol.tick(self.now)
+        self._collect(process)
+        if self._ticks % LIST_READ_TICKS == 0 and is_watcher(process.protocol.table):
+            listed = self._lagging_list()
+            process.seen_listed.update(listed)
+            process.protocol.on_vm_list(listed, self.now)
+            self._collect(process)
+
+    def _lagging_list(self) -> dict[str, str]:
+        until = self.now - self.list_lag_seconds
+        seen = [listed for at, listed in self._lists if at <= until]
+        return seen[-1] if seen else self._lists[0][1]
+
+    def _collect(self, process: Process) -> None:
+        for message in process.protocol.outgoing:
+            copies = 2 if self.choice.random() < self.duplication else 1
+            for _ in range(copies):
+                if self.choice.random() >= self.loss:
+                    self._post(process, message.address, message.body)
+        process.protocol.outgoing.clear()
+
+    def _post(self, process: Process, to: Address, body: object) -> None:
+        delay = self.choice.random() * self.delay_seconds
+        copy = type(body).FromString(body.SerializeToString())
+        self.letters.append(
+            Letter(
+                self.now + delay,
+                process.vm,
+                process.incarnation,
+                process.address,
+                to,
+                copy,
+            )
+        )
+
+    def _deliver(self) -> None:
+        """Deliver what is due, and the answers to it that are due at once."""
+        while due := [letter for letter in self.letters if letter.at <= self.now]:
+            self.letters = [letter for letter in self.letters if letter.at > self.now]
+            for letter in due:
+                self._arrive(letter)
+
+    def _arrive(self, letter: Letter) -> None:
+        for process in self.processes.values():
+            if process.address != letter.to or process.vm == letter.sender:
+                continue
+            if (process.vm in self.cut_off) != (letter.sender in self.cut_off):
+                continue
+            if process.frozen:
+                process.waiting.append(letter)
+            else:
+                self._hand_over(process, letter)
+
+    def _hand_over(self, process: Process, letter: Letter) -> None:
+        protocol = process.protocol
+        protocol.on_heard(letter.sender, letter.incarnation, self.now)
+        protocol.on_message(letter.sender, letter.source, letter.body, self.now)
+        self._collect(process)
--- /dev/null
+++ b/tests/test_vm_list.py
@@ -0,0 +1,65 @@
+"""Tests of what the platform's list adds to the peers' word."""
+
+import pytest
+
+from daisylift.decisions.membership import MemberState
+from daisylift.decisions.vm_list import (
+    GONE_AFTER_SECONDS,
+    NEVER_LISTED_GONE_AFTER_SECONDS,
+    VmListReader,
+    is_watcher,
+)
+from tests.test_membership import member, table
+
+RUNNING = {'vm-0': 'running', 'vm-1': 'running'}
+
+
+def test_silent_and_no_longer_listed_is_gone():
+    known, reader = table(), VmListReader()
+    known.apply(member('vm-1'), now=0.0)
+    known.suspect('vm-1', 'b', now=1.0)
+    assert reader.apply(known, RUNNING, now=100.0) == []
+    assert reader.apply(known, {}, now=100.0)[0].state is MemberState.GONE
+
+
+@pytest.mark.parametrize(
+    ('silent', 'listed', 'seconds'),
+    [
+        (False, {}, 1000.0),
+        (True, RUNNING, 1000.0),
+        (True, {}, GONE_AFTER_SECONDS - 1.0),
+    ],
+)
+def test_not_gone(silent, listed, seconds):
+    known, reader = table(), VmListReader()
+    known.apply(member('vm-1'), now=0.0)
+    reader.apply(known, RUNNING, now=0.0)
+    if silent:
+        known.suspect('vm-1', 'b', now=0.0)
+    assert reader.apply(known, listed, now=seconds) == []
+
+
+def test_one_never_seen_listed_may_be_new():
+    known, reader = table(), VmListReader()
+    known.apply(member('vm-1'), now=0.0)
+    known.suspect('vm-1', 'b', now=0.0)
+    assert reader.apply(known, {}, now=NEVER_LISTED_GONE_AFTER_SECONDS - 1.0) == []
+    assert reader.apply(known, {}, now=NEVER_LISTED_GONE_AFTER_SECONDS) != []
+
+
+def test_listed_as_leaving_is_leaving():
+    known, reader = table(), VmListReader()
+    known.apply(member('vm-1'), now=0.0)
+    (news,) = reader.apply(known, {'vm-1': 'leaving'}, now=1.0)
+    assert news.state is MemberState.LEAVING
+
+
+def test_two_watch_in_each_failure_domain():
+    known = table()
+    assert is_watcher(known)
+    known.apply(member('vm-00'), now=0.0)
+    known.apply(member('vm-01'), now=0.0)
+    assert is_watcher(known)
+    known.apply(member('a'), now=0.0)
+    known.apply(member('b'), now=0.0)
+    assert not is_watcher(known)
