Run a non-idempotent request at most once under its key

Cause: a payment sent twice ran twice. Two keys now stand against that: a request id that a node issues (look-up answer, POST /v1/request-ids), good only in that incarnation, whose memory decides without the store; and the caller's Idempotency-Key, whose record is created at the platform before dispatch and names the attempt, so that a lost answer of the store is told by reading back.

Ruled out: running under another incarnation's id; taking a record over from a holder that does not answer; forgetting a key early (a full memory refuses). The run is a task of its own, so a caller that leaves finds the answer later.

--- a/packages/daisylift-node/src/daisylift_node/connection/caller.py
+++ b/packages/daisylift-node/src/daisylift_node/connection/caller.py
@@ -1,6 +1,6 @@
 """The callers' port: dispatches requests, and answers even the unreadable ones."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 from aiohttp import web
 from aiohttp.http_exceptions import LineTooLong
@@ -17,6 +17,7 @@
 )
 
 LOOKUP_PATH = '/v1/lookup'
+REQUEST_IDS_PATH = '/v1/request-ids'
 LOOKUP_METHODS = ('GET', 'HEAD')
 MAX_FIELD_BYTES = 16 * 1024
 IDLE_SECONDS = 75.0
@@ -53,18 +54,22 @@
         return CallerConnection(self, loop=self._loop, **self._kwargs)
 
 
-def caller_server(lookup: Handler, relay: Handler) -> CallerServer:
+def caller_server(
+    lookup: Handler, request_ids: Handler, relay: Handler
+) -> CallerServer:
     """Return the server of the callers' port."""
 
     async def dispatch(request: web.BaseRequest) -> web.StreamResponse:
         path = request.raw_path
         if path.startswith(SERVICES_PREFIX):
             return await relay(request)
+        if path == REQUEST_IDS_PATH:
+            return await _issue(request, request_ids)
         if path.partition('?')[0] != LOOKUP_PATH:
             refusal = did_not_run(Reason.UNKNOWN_PATH, 'there is nothing at this path')
             return refusal_response(refusal)
         if request.method not in LOOKUP_METHODS:
-            return _method_not_allowed(request.method)
+            return _method_not_allowed(request.method, LOOKUP_METHODS)
         answer = await lookup(request)
         answer.headers.setdefault(headers.OUTCOME, Outcome.ANSWERED.value)
         return answer
@@ -80,10 +85,17 @@
     )
 
 
-def _method_not_allowed(method: str) -> web.Response:
-    refusal = did_not_run(Reason.METHOD_NOT_ALLOWED, f'look-ups are no {method[:16]}')
+async def _issue(request: web.BaseRequest, issue: Handler) -> web.StreamResponse:
+    if request.method != 'POST':
+        return _method_not_allowed(request.method, ('POST',))
+    return await issue(request)
+
+
+def _method_not_allowed(method: str, allowed: Sequence[str]) -> web.Response:
+    detail = f'{method[:16]} is not served at this path'
+    refusal = did_not_run(Reason.METHOD_NOT_ALLOWED, detail)
     response = refusal_response(refusal)
-    response.headers['Allow'] = ', '.join(LOOKUP_METHODS)
+    response.headers['Allow'] = ', '.join(allowed)
     return response
 
 
--- a/packages/daisylift-node/src/daisylift_node/process/application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/application.py
@@ -17,6 +17,7 @@
 from daisylift_node.process import clock
 from daisylift_node.process.breaking import BreakRegister
 from daisylift_node.process.health import HealthBook
+from daisylift_node.process.idempotency import IdempotencyRecords
 from daisylift_node.process.links import LinkPacer
 from daisylift_node.process.load import POLL_PERIOD_SECONDS, LoadPoller
 from daisylift_node.process.members import Members
@@ -28,15 +29,18 @@
 from daisylift_node.process.timer import TimerService
 from daisylift_node.request.admission import Admission
 from daisylift_node.request.exchange import Exchange
-from daisylift_node.request.guard import OpenGuard
+from daisylift_node.request.forward import Forwarder
+from daisylift_node.request.guard import KeyGuard
 from daisylift_node.request.lookup import LookupHandler
 from daisylift_node.request.relay import RelayHandler
+from daisylift_node.request.request_ids import RequestIdIssuer
 from daisylift_node.version.change_writer import ChangeWriter
 from daisylift_node.version.configuration import ConfigurationFollower
 from daisylift_node.version.steering import REFRESH_SECONDS, Steering
 
 MEMBERS_PERIOD_SECONDS = 1.0
 PERMITS_PERIOD_SECONDS = 0.1
+EXPIRY_PERIOD_SECONDS = 30.0
 
 
 class Component(Protocol):
@@ -88,8 +92,22 @@
             random=random.Random(self.incarnation).random,
             closed_regions=self.links.closed_regions,
         )
+        self.records = IdempotencyRecords(self.platform, self.metrics)
+        self.issuer = RequestIdIssuer(
+            self.members, settings.peer.key.get_secret_value().encode()
+        )
+        self.forwarder = Forwarder(settings.vm.id)
+        self.guard = KeyGuard(
+            members=self.members,
+            incarnation=self.incarnation,
+            issuer=self.issuer,
+            records=self.records,
+            forwarder=self.forwarder,
+            metrics=self.metrics,
+            clock=clock.now,
+        )
         self.relay = RelayHandler(
-            guard=OpenGuard(),
+            guard=self.guard,
             admission=self.admission,
             exchange=Exchange(self.connections, self.health, self.links, clock.now),
             breaks=self.breaks,
@@ -104,6 +122,9 @@
             self.connections,
             self.follower,
             self.timer,
+            self.records,
+            self.forwarder,
+            self.guard,
         )
 
     async def start(self) -> None:
@@ -118,8 +139,11 @@
         self.timer.subscribe(REFRESH_SECONDS, self.steering.refresh)
         self.timer.subscribe(POLL_PERIOD_SECONDS, self.load.poll)
         self.timer.subscribe(REPEAT_PERIOD_SECONDS, self.notices.repeat)
-        lookup = LookupHandler(self.steering, self.metrics)
-        caller = web.ServerRunner(caller_server(lookup.handle, self.relay.handle))
+        self.timer.subscribe(EXPIRY_PERIOD_SECONDS, self.guard.expire)
+        lookup = LookupHandler(self.steering, self.issuer, self.metrics)
+        caller = web.ServerRunner(
+            caller_server(lookup.handle, self.issuer.handle, self.relay.handle)
+        )
         await self._listen(caller, self.settings.caller)
         operations = web.AppRunner(self._operations_application(), access_log=None)
         await self._listen(operations, self.settings.operations)
--- /dev/null
+++ b/packages/daisylift-node/src/daisylift_node/process/idempotency.py
@@ -0,0 +1,237 @@
+"""The idempotency records of callers' own keys, in the platform.
+
+A record is created before its request is dispatched. It names the attempt, so that
+a lost answer of the platform is told from another node's record. Only the process
+that the record names updates or deletes it, each time at the version it knows.
+"""
+
+import asyncio
+import base64
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from loguru import logger
+from returns.result import Failure, Result, Success
+
+from daisylift.decisions.idempotency import (
+    Adopt,
+    Attempt,
+    KeptAnswer,
+    Record,
+    RecordVerdict,
+    State,
+    judge_record,
+)
+from daisylift_node.process.metrics import Metrics
+from daisylift_node.process.platform import (
+    Conflict,
+    Missing,
+    PlatformClient,
+    PlatformFailure,
+    StoredObject,
+    Uncertain,
+)
+
+KIND = 'idempotency'
+MAX_TRIES = 4
+MAX_NOTED_ANSWER_BYTES = 4 * 1024
+MAX_PENDING_WRITES = 1000
+PENDING_WRITES_PAUSE_SECONDS = 0.01
+FLUSH_SECONDS = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """The record names this attempt, at the version."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class NotWritten:
+    """No record of this attempt was written, nor will be."""
+
+
+@dataclass(frozen=True, slots=True)
+class InDoubt:
+    """Whether a record of this attempt stands, or still comes, is not known."""
+
+
+ClaimResult = Held | NotWritten | InDoubt | RecordVerdict
+Write = Callable[[], Any]
+
+
+class IdempotencyRecords:
+    """Claims, adopts, releases and completes records."""
+
+    def __init__(self, platform: PlatformClient, metrics: Metrics) -> None:
+        self._platform = platform
+        self._metrics = metrics
+        self._pending: deque[tuple[str, Write]] = deque()
+        self._wake = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin to work off the later writes."""
+        self._task = asyncio.create_task(self._work_off())
+
+    async def stop(self) -> None:
+        """Finish the later writes, as far as a short while allows."""
+        if self._task is None:
+            return
+        try:
+            async with asyncio.timeout(FLUSH_SECONDS):
+                while self._pending:
+                    await self._write_next()
+        except TimeoutError:
+            logger.warning('{} idempotency writes were left', len(self._pending))
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
+    async def claim(
+        self, name: str, wanted: str, attempt: Attempt, local: State | None
+    ) -> ClaimResult:
+        """Try to get the record to name the attempt; ``local`` as for judge_record."""
+        record = _value(wanted, attempt, State.RUNNING, None)
+        result = await self._platform.create(KIND, name, record)
+        in_doubt = False
+        for _ in range(MAX_TRIES):
+            match result:
+                case Success(stored):
+                    return Held(stored.version)
+                case Failure(Conflict(current=StoredObject() as current)):
+                    found = parse_record(current)
+                    if found is None:
+                        return InDoubt()
+                    if found.attempt == attempt:
+                        return Held(found.version)
+                    verdict = judge_record(found, wanted, attempt.incarnation, local)
+                    if not isinstance(verdict, Adopt):
+                        return verdict
+                    result = await self._platform.update(
+                        KIND, name, record, verdict.version
+                    )
+                case Failure(Missing() | Conflict()):
+                    result = await self._platform.create(KIND, name, record)
+                case Failure(Uncertain()):
+                    in_doubt = True
+                    result = await self._read_back(name)
+                case _:
+                    return InDoubt() if in_doubt else NotWritten()
+        return InDoubt()
+
+    async def _read_back(self, name: str) -> Result[StoredObject, PlatformFailure]:
+        read = await self._platform.get(KIND, name)
+        match read:
+            case Success(stored):
+                return Failure(Conflict(current=stored))
+        return read
+
+    def release_later(self, name: str, version: int) -> None:
+        """Delete the record of an attempt that never ran, so that others may run."""
+
+        async def delete() -> None:
+            await self._release(name, version)
+
+        self._add('release', delete)
+
+    def note_later(
+        self,
+        name: str,
+        version: int,
+        wanted: str,
+        attempt: Attempt,
+        state: State,
+        answer: KeptAnswer | None,
+    ) -> None:
+        """Write the outcome into the record, with the answer when it is small."""
+        if answer is not None and len(answer.body) > MAX_NOTED_ANSWER_BYTES:
+            answer = None
+        value = _value(wanted, attempt, state, answer)
+
+        async def update() -> None:
+            result = await self._platform.update(KIND, name, value, version)
+            self._count('note', result)
+
+        self._add('note', update)
+
+    async def _release(self, name: str, version: int) -> None:
+        result = await self._platform.delete(KIND, name, version)
+        if isinstance(result, Failure) and isinstance(result.failure(), Uncertain):
+            result = await self._platform.delete(KIND, name, version)
+        self._count('release', result)
+
+    def _add(self, sort: str, write: Write) -> None:
+        if len(self._pending) >= MAX_PENDING_WRITES:
+            self._pending.popleft()
+            self._metrics.idempotency_writes.labels(write=sort, result='dropped').inc()
+        self._pending.append((sort, write))
+        self._wake.set()
+
+    async def _work_off(self) -> None:
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._pending:
+                await self._write_next()
+                await asyncio.sleep(PENDING_WRITES_PAUSE_SECONDS)
+
+    async def _write_next(self) -> None:
+        _, write = self._pending.popleft()
+        await write()
+
+    def _count(self, sort: str, result: Result[Any, PlatformFailure]) -> None:
+        label = 'ok'
+        if isinstance(result, Failure):
+            label = type(result.failure()).__name__.lower()
+        self._metrics.idempotency_writes.labels(write=sort, result=label).inc()
+
+
+def parse_record(stored: StoredObject) -> Record | None:
+    """Return the record, or None when it can't be read."""
+    try:
+        value = stored.value
+        answer = value['answer']
+        return Record(
+            fingerprint=value['fingerprint'],
+            attempt=Attempt(
+                value['ordinal'], value['incarnation'], value['attempt_number']
+            ),
+            state=State(value['state']),
+            answer=None if answer is None else _read_answer(answer),
+            version=stored.version,
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        logger.error('unreadable idempotency record {}: {!r}', stored.name, error)
+        return None
+
+
+def _value(
+    wanted: str, attempt: Attempt, state: State, answer: KeptAnswer | None
+) -> dict[str, Any]:
+    return {
+        'fingerprint': wanted,
+        'ordinal': attempt.ordinal,
+        'incarnation': attempt.incarnation,
+        'attempt_number': attempt.number,
+        'state': state.value,
+        'answer': None if answer is None else _write_answer(answer),
+    }
+
+
+def _write_answer(answer: KeptAnswer) -> dict[str, Any]:
+    return {
+        'status': answer.status,
+        'headers': [list(pair) for pair in answer.headers],
+        'body': base64.b64encode(answer.body).decode(),
+    }
+
+
+def _read_answer(document: dict[str, Any]) -> KeptAnswer:
+    return KeptAnswer(
+        status=document['status'],
+        headers=tuple((name, value) for name, value in document['headers']),
+        body=base64.b64decode(document['body']),
+    )
--- a/packages/daisylift-node/src/daisylift_node/process/metrics.py
+++ b/packages/daisylift-node/src/daisylift_node/process/metrics.py
@@ -101,6 +101,18 @@
             ['result'],
             registry=self.registry,
         )
+        self.keyed_requests = Counter(
+            'daisylift_keyed_requests',
+            'Non-idempotent requests by sort of key and what was decided.',
+            ['key', 'decision'],
+            registry=self.registry,
+        )
+        self.idempotency_writes = Counter(
+            'daisylift_idempotency_writes',
+            'Later writes to idempotency records by sort and result.',
+            ['write', 'result'],
+            registry=self.registry,
+        )
         self.request_seconds = Histogram(
             'daisylift_request_seconds',
             'Time from the request to the end of its answer.',
--- a/packages/daisylift-node/src/daisylift_node/request/body.py
+++ b/packages/daisylift-node/src/daisylift_node/request/body.py
@@ -66,6 +66,20 @@
         if not self._whole and self._request.content.at_eof():
             self._whole = True
 
+    async def read_whole(self, limit: int) -> bool:
+        """Read on, up to the limit; say whether the whole body is in memory."""
+        parts = [self.head]
+        size = len(self.head)
+        while not self._whole and size < limit:
+            part = await self._read(min(limit - size, READ_AHEAD_BYTES))
+            self._whole = not part
+            parts.append(part)
+            size += len(part)
+        self.head = b''.join(parts)
+        if self._request.content.at_eof():
+            self._whole = True
+        return self._whole
+
     def payload(self, pace: Pace) -> bytes | AsyncIterator[bytes] | None:
         """Return what to hand to the HTTP client; parts after the head are paced."""
         if self._whole:
--- a/packages/daisylift-node/src/daisylift_node/request/guard.py
+++ b/packages/daisylift-node/src/daisylift_node/request/guard.py
@@ -1,11 +1,56 @@
-"""Decides whether a non-idempotent request runs, waits, is replayed or refused."""
+"""Runs each non-idempotent call at most once under the key it came with."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import Protocol
 
+from loguru import logger
+
+from daisylift.decisions.attempts import AttemptMemory, MemoryFull
+from daisylift.decisions.idempotency import (
+    AskHolder,
+    Attempt,
+    KeptAnswer,
+    KeyReused,
+    Known,
+    NotKept,
+    Replay,
+    Run,
+    State,
+    Wait,
+    fingerprint,
+)
+from daisylift.decisions.request_ids import ID_LIFE_SECONDS
+from daisylift.outcome import Outcome
+from daisylift_node.process.idempotency import (
+    Held,
+    IdempotencyRecords,
+    InDoubt,
+    NotWritten,
+)
+from daisylift_node.process.members import Members
+from daisylift_node.process.metrics import Metrics
+from daisylift_node.request import refusals
+from daisylift_node.request.body import CallerBodyError
 from daisylift_node.request.call import Call
-from daisylift_node.request.ending import Ending
+from daisylift_node.request.ending import Answered, BrokenOff, Ending, Refused
+from daisylift_node.request.forward import Forwarder
+from daisylift_node.request.keyed import IssuedKey, Key, read_key
+from daisylift_node.request.problem import Reason, Refusal, did_not_run, unknown
+from daisylift_node.request.recorder import KeepingAnswer, replay
+from daisylift_node.request.request_ids import RequestIdIssuer
+
+MAX_KEYED_BODY_BYTES = 1024 * 1024
+MAX_WAIT_SECONDS = 2.0
+STOP_SECONDS = 10.0
+STATE_BY_OUTCOME = {
+    Outcome.ANSWERED: State.ANSWERED,
+    Outcome.DID_NOT_RUN: State.NOT_RUN,
+    Outcome.UNKNOWN: State.UNKNOWN,
+}
 
+Clock = Callable[[], float]
 Serve = Callable[[Call], Awaitable[Ending]]
 
 
@@ -16,9 +61,223 @@
         """Serve the call, at most once for its key, or end it otherwise."""
 
 
-class OpenGuard:
-    """Serves every call."""
+@dataclass(frozen=True, slots=True)
+class KeyedCall:
+    """A call with a key, its body read whole."""
+
+    call: Call
+    key: Key
+    fingerprint: str
+    serve: Serve
+
+
+class KeyGuard:
+    """Decides whether a non-idempotent call runs, waits, is replayed or refused."""
+
+    def __init__(
+        self,
+        members: Members,
+        incarnation: str,
+        issuer: RequestIdIssuer,
+        records: IdempotencyRecords,
+        forwarder: Forwarder,
+        metrics: Metrics,
+        clock: Clock,
+    ) -> None:
+        self._members = members
+        self._issuer = issuer
+        self._records = records
+        self._forwarder = forwarder
+        self._metrics = metrics
+        self._clock = clock
+        self._memory = AttemptMemory(incarnation)
+        self._task_by_name: dict[str, asyncio.Task[Ending]] = {}
+
+    async def start(self) -> None:
+        """Do nothing; the guard acts on calls only."""
+
+    async def stop(self) -> None:
+        """Wait for what runs, whose callers may already have gone."""
+        if self._task_by_name:
+            await asyncio.wait(self._task_by_name.values(), timeout=STOP_SECONDS)
+
+    async def expire(self) -> None:
+        """Forget what is too old; called now and then."""
+        self._memory.expire(self._clock())
 
     async def run(self, call: Call, serve: Serve) -> Ending:
-        """Serve the call."""
-        return await serve(call)
+        """Serve the call, at most once for its key, or end it otherwise."""
+        key = None if call.is_idempotent else read_key(call, self._issuer)
+        if key is None:
+            return await serve(call)
+        if isinstance(key, Refusal):
+            return Refused(key)
+        own = self._members.own
+        if own is None:
+            return Refused(refusals.not_ready())
+        refusal = await _read_body(call)
+        if refusal is not None:
+            return Refused(refusal)
+        wanted = fingerprint(
+            call.service.name, call.method, call.target, call.body.head
+        )
+        return await self._run_keyed(KeyedCall(call, key, wanted, serve), own.ordinal)
+
+    async def _run_keyed(self, keyed: KeyedCall, ordinal: int) -> Ending:
+        key = keyed.key
+        if isinstance(key, IssuedKey):
+            issued = key.request_id
+            if issued.incarnation != self._memory.incarnation:
+                holder = AskHolder(issued.ordinal, issued.incarnation)
+                return await self._settle(keyed, holder)
+            known = self._memory.judge(key.name, keyed.fingerprint)
+            if known is None and self._issuer.is_expired(issued):
+                return Refused(refusals.request_id_expired())
+        now = self._clock()
+        give_up = keyed.call.deadline.earlier(MAX_WAIT_SECONDS, now)
+        while True:
+            before = self._memory.state(key.name)
+            begun = self._memory.begin(
+                key.name, keyed.fingerprint, ordinal, self._clock(), ID_LIFE_SECONDS
+            )
+            match begun:
+                case Run(attempt):
+                    self._count(key, begun)
+                    return await self._start(keyed, attempt, before)
+                case MemoryFull():
+                    return Refused(refusals.too_many_keys())
+                case Wait():
+                    task = self._task_by_name[key.name]
+                    left = give_up.left(self._clock())
+                    await asyncio.wait({task}, timeout=left)
+                    if not task.done():
+                        return await self._settle(keyed, begun)
+                case _:
+                    return await self._settle(keyed, begun)
+
+    async def _start(
+        self, keyed: KeyedCall, attempt: Attempt, before: State | None
+    ) -> Ending:
+        """Run the call in a task of its own, which outlives a caller that leaves."""
+        name = keyed.key.name
+        if isinstance(keyed.key, IssuedKey):
+            running = self._execute(keyed)
+        else:
+            running = self._claim_and_execute(keyed, attempt, before)
+        task = asyncio.create_task(running)
+        self._task_by_name[name] = task
+        task.add_done_callback(lambda _: self._on_end(name, task))
+        return await asyncio.shield(task)
+
+    def _on_end(self, name: str, task: asyncio.Task[Ending]) -> None:
+        self._task_by_name.pop(name, None)
+        if not task.cancelled() and task.exception() is not None:
+            logger.opt(exception=task.exception()).error('a keyed call failed')
+
+    async def _claim_and_execute(
+        self, keyed: KeyedCall, attempt: Attempt, before: State | None
+    ) -> Ending:
+        name = keyed.key.name
+        try:
+            claim = await self._records.claim(name, keyed.fingerprint, attempt, before)
+        except BaseException:
+            self._memory.end(name, State.NOT_RUN)
+            raise
+        match claim:
+            case Held(version):
+                ending = await self._execute(keyed)
+                self._write_outcome(keyed, attempt, version)
+                return ending
+            case InDoubt():
+                self._memory.end(name, State.NOT_RUN)
+                return Refused(refusals.records_unavailable())
+            case NotWritten() if before is State.NOT_RUN:
+                self._memory.end(name, State.NOT_RUN)
+                return Refused(refusals.records_unavailable())
+            case NotWritten():
+                self._memory.forget(name)
+                return Refused(refusals.records_unavailable())
+        self._memory.forget(name)
+        return await self._settle(keyed, claim)
+
+    async def _execute(self, keyed: KeyedCall) -> Ending:
+        """Serve the call; its attempt is this process's alone.
+
+        The deadline is checked last: a process that was paused since it took the
+        call on finds it over, and says truly that it did not run.
+        """
+        name = keyed.key.name
+        if keyed.call.deadline.has_passed(self._clock()):
+            self._memory.end(name, State.NOT_RUN)
+            return Refused(refusals.deadline_passed())
+        keeping = KeepingAnswer(keyed.call.sink)
+        keyed.call.sink = keeping
+        try:
+            ending = await keyed.serve(keyed.call)
+        except BaseException:
+            self._memory.end(name, State.UNKNOWN)
+            raise
+        self._memory.end(name, STATE_BY_OUTCOME[ending.outcome], keeping.kept)
+        return ending
+
+    def _write_outcome(self, keyed: KeyedCall, attempt: Attempt, version: int) -> None:
+        name = keyed.key.name
+        state = self._memory.state(name)
+        if state is State.NOT_RUN:
+            self._records.release_later(name, version)
+            return
+        answer = self._memory.answer(name)
+        self._records.note_later(
+            name, version, keyed.fingerprint, attempt, state, answer
+        )
+
+    async def _settle(self, keyed: KeyedCall, verdict: Known | AskHolder) -> Ending:
+        self._count(keyed.key, verdict)
+        match verdict:
+            case Replay(answer):
+                return await _replay(keyed.call, answer)
+            case NotKept():
+                return Refused(refusals.answer_not_kept())
+            case KeyReused():
+                return Refused(refusals.key_reused())
+            case Wait():
+                return Refused(refusals.in_progress())
+            case AskHolder():
+                return await self._ask(keyed.call, verdict)
+        return Refused(refusals.outcome_unknown())
+
+    async def _ask(self, call: Call, holder: AskHolder) -> Ending:
+        member = self._members.by_ordinal.get(holder.ordinal)
+        if member is None or member.claim.incarnation != holder.incarnation:
+            return Refused(refusals.outcome_unknown())
+        address = member.caller_address
+        if call.is_forwarded:
+            return Refused(refusals.holder_unreachable(address))
+        return await self._forwarder.forward(call, address, self._clock())
+
+    def _count(self, key: Key, decision: object) -> None:
+        self._metrics.keyed_requests.labels(
+            key='request-id' if isinstance(key, IssuedKey) else 'caller-key',
+            decision=type(decision).__name__.lower(),
+        ).inc()
+
+
+async def _replay(call: Call, answer: KeptAnswer) -> Ending:
+    try:
+        await replay(answer, call.caller)
+    except ConnectionError as error:
+        refusal = unknown(Reason.CONNECTION_LOST, f'the caller went away: {error}')
+        return BrokenOff(refusal)
+    return Answered()
+
+
+async def _read_body(call: Call) -> Refusal | None:
+    try:
+        async with asyncio.timeout_at(call.deadline.at):
+            is_whole = await call.body.read_whole(MAX_KEYED_BODY_BYTES)
+    except CallerBodyError:
+        return did_not_run(Reason.BAD_BODY, 'the body ended short')
+    except TimeoutError:
+        detail = 'the body was not there before the deadline'
+        return did_not_run(Reason.DEADLINE_PASSED, detail)
+    return None if is_whole else refusals.body_too_large()
--- a/packages/daisylift-node/src/daisylift_node/request/lookup.py
+++ b/packages/daisylift-node/src/daisylift_node/request/lookup.py
@@ -12,6 +12,7 @@
 from daisylift_node.process.members import Member
 from daisylift_node.process.metrics import Metrics
 from daisylift_node.request.problem import Reason, Refusal, refusal_response
+from daisylift_node.request.request_ids import RequestIdIssuer
 from daisylift_node.version.steering import Steering
 
 
@@ -47,8 +48,11 @@
 class LookupHandler:
     """Answers from memory, also while the platform is down."""
 
-    def __init__(self, steering: Steering, metrics: Metrics) -> None:
+    def __init__(
+        self, steering: Steering, issuer: RequestIdIssuer, metrics: Metrics
+    ) -> None:
         self._steering = steering
+        self._issuer = issuer
         self._metrics = metrics
 
     async def handle(self, request: web.BaseRequest) -> web.Response:
@@ -61,7 +65,8 @@
             ).inc()
             return refusal_response(answer)
         self._metrics.lookups.labels(service=name).inc()
-        return web.json_response(answer.document())
+        document = {**answer.document(), 'request_id': self._issuer.issue()}
+        return web.json_response(document)
 
     def answer(self, name: str, client: str) -> LookupAnswer | Refusal:
         """Return the answer for an address or block, or a typed refusal."""
--- a/packages/daisylift-node/src/daisylift_node/request/problem.py
+++ b/packages/daisylift-node/src/daisylift_node/request/problem.py
@@ -35,6 +35,16 @@
     SERVER_REFUSED = 'server-refused'
     CONNECTION_LOST = 'connection-lost'
     BREAKS_SERVERS = 'breaks-servers'
+    BAD_KEY = 'bad-key'
+    KEY_REUSED = 'key-reused'
+    IN_PROGRESS = 'in-progress'
+    OUTCOME_UNKNOWN = 'outcome-unknown'
+    ANSWER_NOT_KEPT = 'answer-not-kept'
+    REQUEST_ID_EXPIRED = 'request-id-expired'
+    HOLDER_UNREACHABLE = 'holder-unreachable'
+    RECORDS_UNAVAILABLE = 'records-unavailable'
+    KEYED_BODY_TOO_LARGE = 'keyed-body-too-large'
+    TOO_MANY_KEYS = 'too-many-keys'
     INTERNAL = 'internal-error'
 
 
@@ -58,6 +68,16 @@
     Reason.SERVER_REFUSED: 503,
     Reason.CONNECTION_LOST: 502,
     Reason.BREAKS_SERVERS: 422,
+    Reason.BAD_KEY: 400,
+    Reason.KEY_REUSED: 422,
+    Reason.IN_PROGRESS: 409,
+    Reason.OUTCOME_UNKNOWN: 409,
+    Reason.ANSWER_NOT_KEPT: 410,
+    Reason.REQUEST_ID_EXPIRED: 410,
+    Reason.HOLDER_UNREACHABLE: 421,
+    Reason.RECORDS_UNAVAILABLE: 503,
+    Reason.KEYED_BODY_TOO_LARGE: 413,
+    Reason.TOO_MANY_KEYS: 503,
     Reason.INTERNAL: 500,
 }
 
@@ -76,13 +96,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Refusal:
-    """A request that got no whole answer, and what is known of its execution."""
+    """A request that got no whole answer, and what is known of its execution.
+
+    ``outcome`` tells of this request as it was sent; ``earlier_sends`` of those that
+    the caller may have sent before it under the same key.
+    """
 
     reason: Reason
     outcome: Outcome
     detail: str
     retry_after_seconds: int | None = None
     other_vms: tuple[str, ...] = ()
+    earlier_sends: Outcome | None = None
 
 
 def did_not_run(reason: Reason, detail: str) -> Refusal:
@@ -111,6 +136,8 @@
         'outcome': refusal.outcome.value,
         'other_vms': list(refusal.other_vms),
     }
+    if refusal.earlier_sends is not None:
+        document['earlier_sends'] = refusal.earlier_sends.value
     answer_headers = {headers.OUTCOME: refusal.outcome.value}
     if refusal.retry_after_seconds is not None:
         answer_headers['Retry-After'] = str(refusal.retry_after_seconds)
--- /dev/null
+++ b/packages/daisylift-node/src/daisylift_node/request/recorder.py
@@ -0,0 +1,80 @@
+"""Keeps an answer for repeats while it goes to its caller."""
+
+from collections.abc import Awaitable
+
+from daisylift import headers
+from daisylift.decisions.idempotency import KeptAnswer
+from daisylift_node.request.answer import AnswerSink, HeaderPairs
+
+MAX_KEPT_ANSWER_BYTES = 64 * 1024
+CONNECTION_FIELDS = headers.HOP_BY_HOP | {'date', 'server', 'content-length'}
+
+
+class KeepingAnswer:
+    """Passes an answer on and keeps it up to a bound; ``kept`` stays None beyond it.
+
+    It takes the whole answer also when the caller has gone, as a repeat may ask.
+    """
+
+    def __init__(
+        self, caller: AnswerSink, max_bytes: int = MAX_KEPT_ANSWER_BYTES
+    ) -> None:
+        self.kept: KeptAnswer | None = None
+        self._caller = caller
+        self._caller_is_there = True
+        self._max_bytes = max_bytes
+        self._status = 0
+        self._fields: HeaderPairs = ()
+        self._chunks: list[bytes] = []
+        self._size = 0
+
+    async def start(self, status: int, fields: HeaderPairs) -> None:
+        """Keep the status and the headers, and pass them on."""
+        self._status = status
+        self._fields = fields
+        await self._tell(self._caller.start(status, fields))
+
+    async def write(self, chunk: bytes) -> None:
+        """Keep the bytes while all of them fit, and pass them on."""
+        self._size += len(chunk)
+        if self._size <= self._max_bytes:
+            self._chunks.append(chunk)
+        else:
+            self._chunks.clear()
+        if self._caller_is_there:
+            await self._tell(self._caller.write(chunk))
+
+    async def finish(self) -> None:
+        """Note that the answer is whole, and end it towards the caller."""
+        if self._size <= self._max_bytes:
+            self.kept = self._answer()
+        if self._caller_is_there:
+            await self._tell(self._caller.finish())
+
+    def break_off(self) -> None:
+        """Break off towards the caller; nothing is kept."""
+        self.kept = None
+        self._caller.break_off()
+
+    def _answer(self) -> KeptAnswer:
+        fields = tuple(
+            (name, value)
+            for name, value in self._fields
+            if name.lower() not in CONNECTION_FIELDS
+        )
+        return KeptAnswer(self._status, fields, b''.join(self._chunks))
+
+    async def _tell(self, sent: Awaitable[None]) -> None:
+        try:
+            await sent
+        except ConnectionError:
+            self._caller_is_there = False
+
+
+async def replay(answer: KeptAnswer, sink: AnswerSink) -> None:
+    """Give a kept answer to a repeat."""
+    length = ('Content-Length', str(len(answer.body)))
+    fields = (*answer.headers, length, (headers.REPLAYED, 'true'))
+    await sink.start(answer.status, fields)
+    await sink.write(answer.body)
+    await sink.finish()
--- a/packages/daisylift/src/daisylift/headers.py
+++ b/packages/daisylift/src/daisylift/headers.py
@@ -9,6 +9,7 @@
 LOAD = 'Daisylift-Load'
 DRAINING = 'Daisylift-Draining'
 SERVER = 'Daisylift-Server'
+REPLAYED = 'Daisylift-Replayed'
 FORWARDED_BY = 'Daisylift-Forwarded-By'
 FORWARDED_FOR = 'X-Forwarded-For'
 
--- /dev/null
+++ b/tests/fakes/local.py
@@ -0,0 +1,202 @@
+"""A fleet inside one event loop: stand-ins and whole nodes, for tests of handlers."""
+
+import asyncio
+import json
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+from google.protobuf.json_format import ParseDict
+
+from daisylift.schema import operator_pb2 as pb
+from daisylift_admin.client import NodeAddress, OperatorClient
+from daisylift_node.config import Settings
+from daisylift_node.process.application import Application
+from tests.fakes.fleet import KEY, free_ports
+from tests.fakes.platform import FakePlatform, Faults, Limits
+from tests.fakes.upstream import Behaviour, FakeUpstream, serve
+
+READY_TRIES = 400
+POLL_SECONDS = 0.01
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What a caller got; ``problem`` is the type of a refusal, else empty."""
+
+    status: int
+    outcome: str
+    body: bytes
+    headers: dict[str, str]
+
+    @property
+    def document(self) -> dict[str, Any]:
+        """Return the body as a JSON document."""
+        return json.loads(self.body)
+
+    @property
+    def problem(self) -> str:
+        """Return the reason of a refusal, or nothing."""
+        if self.headers.get('Content-Type') != 'application/problem+json':
+            return ''
+        return self.document['type'].removeprefix('urn:daisylift:')
+
+
+@dataclass(slots=True)
+class LocalFleet:
+    """The platform, the backend servers and the nodes, all in this loop."""
+
+    policy: dict[str, Any]
+    domains: list[str]
+    platform_timeout_seconds: float = 2.0
+    platform: FakePlatform = field(default_factory=FakePlatform)
+    upstream_by_name: dict[str, FakeUpstream] = field(default_factory=dict)
+    nodes: list[Application] = field(default_factory=list)
+    session: aiohttp.ClientSession | None = None
+    _runners: list[web.AppRunner] = field(default_factory=list)
+    _stopped: list[Application] = field(default_factory=list)
+    _platform_port: int = 0
+
+    async def __aenter__(self) -> 'LocalFleet':
+        """Start everything and put the policy."""
+        await self._start_platform()
+        await self._start_upstreams()
+        for number, domain in enumerate(self.domains):
+            self.nodes.append(Application(self._settings(number, domain)))
+            await self.nodes[-1].start()
+        await self.put_policy()
+        for node in self.nodes:
+            await wait_until(lambda n=node: self._sees_all(n))
+        self.session = aiohttp.ClientSession()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Stop everything."""
+        await self.session.close()
+        running = [n for n in self.nodes if n not in self._stopped]
+        await asyncio.gather(*(node.stop() for node in running))
+        await asyncio.gather(*(runner.cleanup() for runner in self._runners))
+
+    async def put_policy(self) -> None:
+        """Put the policy at the first node, as an operator does."""
+        request = pb.PutPolicyRequest(header=pb.ChangeHeader(operation_id='first'))
+        ParseDict(self.policy, request.policy)
+        async with self.operator(0) as operator:
+            await operator.put_policy(request)
+
+    def operator(self, node: int) -> OperatorClient:
+        """Return an operators' client of a node."""
+        address = self.nodes[node].settings.operator
+        return OperatorClient(NodeAddress(address.host, address.port), KEY)
+
+    async def send(
+        self,
+        node: int,
+        path: str,
+        *,
+        method: str = 'POST',
+        body: bytes = b'{"amount": 90000}',
+        headers: dict[str, str] | None = None,
+    ) -> Answer:
+        """Send one request to a node, as a caller does."""
+        address = self.nodes[node].settings.caller
+        url = f'http://{address.host}:{address.port}{path}'
+        data = None if method == 'GET' else body
+        async with self.session.request(
+            method, url, data=data, headers=headers
+        ) as answer:
+            return Answer(
+                status=answer.status,
+                outcome=answer.headers.get('Daisylift-Outcome', ''),
+                body=await answer.read(),
+                headers=dict(answer.headers),
+            )
+
+    async def stop_node(self, node: int) -> None:
+        """Stop one node for good."""
+        await self.nodes[node].stop()
+        self._stopped.append(self.nodes[node])
+
+    async def request_id(self, node: int) -> str:
+        """Return a fresh request id of a node."""
+        answer = await self.send(node, '/v1/request-ids')
+        return answer.document['request_id']
+
+    def executions(self) -> Counter[str]:
+        """Return how often the backend servers ran what."""
+        total: Counter[str] = Counter()
+        for upstream in self.upstream_by_name.values():
+            total += upstream.executions
+        return total
+
+    def heal(self) -> None:
+        """End all faults of the platform and of the backend servers."""
+        self.platform.faults = Faults()
+        self.platform.limits = Limits()
+        for upstream in self.upstream_by_name.values():
+            upstream.behaviour = Behaviour()
+
+    def set_behaviour(self, **values: object) -> None:
+        """Change the behaviour of all backend servers."""
+        for upstream in self.upstream_by_name.values():
+            for name, value in values.items():
+                setattr(upstream.behaviour, name, value)
+
+    def stored(self, kind: str) -> list[dict[str, Any]]:
+        """Return the objects of a kind that the platform holds."""
+        return [o for (k, _), o in sorted(self.platform.objects.items()) if k == kind]
+
+    def _sees_all(self, node: Application) -> bool:
+        return node.is_ready() and len(node.members.by_ordinal) >= len(self.domains)
+
+    async def _start_platform(self) -> None:
+        (port,) = free_ports(1)
+        self.platform.vms = [
+            {'id': f'vm-{number}', 'failure_domain': domain, 'state': 'running'}
+            for number, domain in enumerate(self.domains)
+        ]
+        runner = web.AppRunner(
+            self.platform.application(), access_log=None, shutdown_timeout=0.1
+        )
+        await runner.setup()
+        await web.TCPSite(runner, '127.0.0.1', port).start()
+        self._runners.append(runner)
+        self._platform_port = port
+
+    async def _start_upstreams(self) -> None:
+        servers = [s for service in self.policy['services'] for s in service['servers']]
+        upstreams = {}
+        for server, port in zip(servers, free_ports(len(servers)), strict=True):
+            server['host'] = '127.0.0.1'
+            server['port'] = port
+            upstreams[port] = FakeUpstream(name=server['name'], slots=server['slots'])
+            self.upstream_by_name[server['name']] = upstreams[port]
+        self._runners += await serve(upstreams)
+
+    def _settings(self, number: int, domain: str) -> Settings:
+        caller, operations, operator, peer = free_ports(4)
+        return Settings.model_validate(
+            {
+                'vm': {'id': f'vm-{number}', 'failure_domain': domain},
+                'caller': {'host': '127.0.0.1', 'port': caller},
+                'operations': {'host': '127.0.0.1', 'port': operations},
+                'operator': {'host': '127.0.0.1', 'port': operator, 'key': KEY},
+                'peer': {'host': '127.0.0.1', 'port': peer, 'key': KEY},
+                'platform': {
+                    'url': f'http://127.0.0.1:{self._platform_port}',
+                    'timeout_seconds': self.platform_timeout_seconds,
+                },
+                'stop': {'announce_seconds': 0.0, 'finish_seconds': 1.0},
+            }
+        )
+
+
+async def wait_until(condition: Any) -> None:
+    """Wait until the condition holds; raise TimeoutError when it never does."""
+    for _ in range(READY_TRIES):
+        if condition():
+            return
+        await asyncio.sleep(POLL_SECONDS)
+    raise TimeoutError('the condition never held')
--- a/tests/fakes/platform.py
+++ b/tests/fakes/platform.py
@@ -79,6 +79,7 @@
         if self.faults.down:
             raise web.HTTPServiceUnavailable
         if self.faults.delay_seconds:
+            await request.read()  # so that the call lands, though its caller gave up
             await asyncio.sleep(self.faults.delay_seconds)
         self._check_rate(request.method)
         response = await handler(request)
--- a/tests/fakes/relay.py
+++ b/tests/fakes/relay.py
@@ -1,7 +1,7 @@
 """The callers' port with everything behind it, in the process of the test."""
 
 import random
-from collections.abc import AsyncIterator, Callable, Iterator
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import Any
@@ -18,8 +18,9 @@
 from daisylift_node.process.links import LinkPacer
 from daisylift_node.process.metrics import Metrics
 from daisylift_node.request.admission import Admission
+from daisylift_node.request.call import Call
+from daisylift_node.request.ending import Ending
 from daisylift_node.request.exchange import Exchange
-from daisylift_node.request.guard import OpenGuard
 from daisylift_node.request.relay import RelayHandler
 from tests.fakes.wire import Script, WireServer
 
@@ -162,7 +163,7 @@
         closed_regions=links.closed_regions,
     )
     relay = RelayHandler(
-        guard=OpenGuard(),
+        guard=_OpenGuard(),
         admission=admission,
         exchange=Exchange(connections, health, links, now),
         breaks=breaks,
@@ -170,7 +171,7 @@
         clock=now,
     )
     runner = web.ServerRunner(
-        caller_server(_no_lookup, relay.handle), shutdown_timeout=0.1
+        caller_server(_no_lookup, _no_lookup, relay.handle), shutdown_timeout=0.1
     )
     await runner.setup()
     site = web.TCPSite(runner, '127.0.0.1', 0)
@@ -216,5 +217,15 @@
         yield address[1]
 
 
+class _OpenGuard:
+    """Serves every call."""
+
+    async def run(
+        self, call: Call, serve: Callable[[Call], Awaitable[Ending]]
+    ) -> Ending:
+        """Serve the call."""
+        return await serve(call)
+
+
 async def _no_lookup(_: web.BaseRequest) -> web.StreamResponse:
     return web.json_response({})
--- /dev/null
+++ b/tests/test_idempotency.py
@@ -0,0 +1,124 @@
+"""Tests of the idempotency records against the stand-in of the platform."""
+
+import pytest
+from aiohttp import web
+
+from daisylift.decisions.idempotency import (
+    AskHolder,
+    Attempt,
+    KeptAnswer,
+    KeyReused,
+    OutcomeUnknown,
+    Replay,
+    State,
+)
+from daisylift_node.config import PlatformSettings
+from daisylift_node.process.idempotency import (
+    KIND,
+    Held,
+    IdempotencyRecords,
+    InDoubt,
+    NotWritten,
+)
+from daisylift_node.process.metrics import Metrics
+from daisylift_node.process.platform import PlatformClient
+from tests.fakes.fleet import free_ports
+from tests.fakes.local import wait_until
+from tests.fakes.platform import FakePlatform
+
+OWN = Attempt(ordinal=0, incarnation='own', number=1)
+OTHER = Attempt(ordinal=1, incarnation='other', number=1)
+ANSWER = KeptAnswer(status=201, headers=(('X-A', 'b'),), body=b'\x00paid')
+
+
+@pytest.fixture
+async def fake():
+    return FakePlatform()
+
+
+@pytest.fixture
+async def records(fake):
+    (port,) = free_ports(1)
+    runner = web.AppRunner(fake.application(), access_log=None, shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, '127.0.0.1', port).start()
+    settings = PlatformSettings(url=f'http://127.0.0.1:{port}', timeout_seconds=0.2)
+    platform = PlatformClient(settings, Metrics())
+    records = IdempotencyRecords(platform, Metrics())
+    await platform.start()
+    await records.start()
+    yield records
+    await records.stop()
+    await platform.stop()
+    await runner.cleanup()
+
+
+async def test_first_claim_holds_and_the_second_asks_its_holder(records):
+    assert isinstance(await records.claim('n', 'f', OWN, None), Held)
+    asked = await records.claim('n', 'f', OTHER, None)
+    assert asked == AskHolder(ordinal=0, incarnation='own')
+    assert await records.claim('n', 'g', OTHER, None) == KeyReused()
+
+
+@pytest.mark.parametrize('answer', [ANSWER, None])
+async def test_noted_outcome_is_found_by_others(records, fake, answer):
+    held = await records.claim('n', 'f', OWN, None)
+    records.note_later('n', held.version, 'f', OWN, State.ANSWERED, answer)
+    await wait_until(
+        lambda: fake.objects[KIND, 'n']['value']['state'] == State.ANSWERED.value
+    )
+    found = await records.claim('n', 'f', OTHER, None)
+    assert found == (AskHolder(0, 'own') if answer is None else Replay(ANSWER))
+
+
+@pytest.mark.parametrize('lost', [0, 1])
+async def test_release_frees_the_key(records, fake, lost):
+    held = await records.claim('n', 'f', OWN, None)
+    fake.faults.lose_answers = lost
+    records.release_later('n', held.version)
+    await wait_until(lambda: (KIND, 'n') not in fake.objects)
+    assert isinstance(await records.claim('n', 'g', OTHER, None), Held)
+
+
+async def test_late_release_does_not_free_a_record_that_came_after(records, fake):
+    held = await records.claim('n', 'f', OWN, None)
+    fake.objects.clear()
+    await records.claim('n', 'f', OTHER, None)
+    records.release_later('n', held.version)
+    await records.stop()
+    assert fake.objects[KIND, 'n']['value']['incarnation'] == 'other'
+
+
+async def test_own_record_that_never_ran_is_taken_at_a_new_version(records):
+    first = await records.claim('n', 'f', OWN, None)
+    again = Attempt(ordinal=0, incarnation='own', number=2)
+    held = await records.claim('n', 'g', again, State.NOT_RUN)
+    assert held.version > first.version
+
+
+async def test_own_record_that_was_forgotten_is_not_taken(records):
+    await records.claim('n', 'f', OWN, None)
+    again = Attempt(ordinal=0, incarnation='own', number=2)
+    assert await records.claim('n', 'f', again, None) == OutcomeUnknown()
+
+
+async def test_store_that_is_down_wrote_nothing(records, fake):
+    fake.faults.down = True
+    assert await records.claim('n', 'f', OWN, None) == NotWritten()
+
+
+async def test_store_that_is_slow_leaves_doubt_and_the_late_write_is_ours(
+    records, fake
+):
+    fake.faults.delay_seconds = 0.5
+    assert await records.claim('n', 'f', OWN, None) == InDoubt()
+    fake.faults.delay_seconds = 0.0
+    await wait_until(lambda: (KIND, 'n') in fake.objects)
+    assert await records.claim('n', 'f', OTHER, None) == AskHolder(0, 'own')
+    again = Attempt(ordinal=0, incarnation='own', number=2)
+    assert isinstance(await records.claim('n', 'f', again, State.NOT_RUN), Held)
+
+
+async def test_unreadable_record_is_never_run(records, fake):
+    fake.write(KIND, 'n', {'state': 'nonsense'})
+    assert await records.claim('n', 'f', OWN, None) == InDoubt()
--- a/tests/test_lookup.py
+++ b/tests/test_lookup.py
@@ -18,6 +18,7 @@
 from daisylift_node.process.metrics import Metrics
 from daisylift_node.request.lookup import LookupAnswer, LookupHandler
 from daisylift_node.request.problem import Reason, Refusal
+from daisylift_node.request.request_ids import RequestIdIssuer
 from daisylift_node.version.steering import Steering
 from tests.utils import policy_document
 
@@ -25,6 +26,8 @@
 
 
 class FakeMembers:
+    own = None
+
     def __init__(self) -> None:
         self.by_ordinal = {n: member(n) for n in range(len(DOMAINS))}
 
@@ -62,7 +65,8 @@
     )
     steering.set_blocks(table)
     steering.refresh_entries()
-    return LookupHandler(steering, Metrics())
+    issuer = RequestIdIssuer(members or FakeMembers(), b'key')
+    return LookupHandler(steering, issuer, Metrics())
 
 
 BLOCKS = SetBlockPages(sites=DOMAINS, pages={'4.0a000000': '0' * 32})
