--- a/packages/daisylift-node/src/daisylift_node/process/members.py
+++ b/packages/daisylift-node/src/daisylift_node/process/members.py
@@ -76,12 +76,16 @@
         return self._by_ordinal
 
     async def refresh(self, configuration: Configuration) -> None:
-        """Read the claims if it is time; claim an ordinal if this VM has none."""
+        """Claim an ordinal if this VM has none; read the claims if it is time.
+
+        They are read again after an own claim, so that of any two VMs that start
+        together the later one to claim finds the other.
+        """
+        if self.own is None:
+            await self._claim(configuration)
         now = clock.now()
         if self._must_read(now):
             await self._read(now)
-        if self.own is None:
-            await self._claim(configuration)
 
     def _must_read(self, now: float) -> bool:
         if self._read_at is None:
@@ -123,6 +127,7 @@
         if not isinstance(result, Success):
             return False
         self.own = claim
+        self._read_at = None
         self.membership.say_ordinal(ordinal)
         logger.info('holds ordinal {}', ordinal)
         return True
