Pass a request that found no slot on to a peer with idle slots, once

Cause: a node whose share was used up refused while another had idle slots; refusals named no other VM. Ruled out: telling idle slots to all peers all the time (a message per node and service a second at 930 nodes); passing on what carries a key and may not be repeated, as a key is good at the node that took the request in. Before: 503 at the first node. After: it asks 3 peers, at most once in 250 ms for each service however many requests want to know, and passes the request and its deadline on; the peer's outcome is the caller's; refusals name up to 3 VMs to try.

--- a/packages/daisylift-node/src/daisylift_node/connection/upstream.py
+++ b/packages/daisylift-node/src/daisylift_node/connection/upstream.py
@@ -9,7 +9,6 @@
 from aiohttp.client_middlewares import ClientHandlerType
 
 from daisylift.decisions.configuration import ServerKey
-from daisylift.models import BackendServer
 
 READ_CHUNK_BYTES = 64 * 1024
 IDLE_SECONDS = 15.0
@@ -100,10 +99,10 @@
 
     @contextmanager
     def lease(
-        self, key: ServerKey, server: BackendServer, limit: int
+        self, key: ServerKey, address: tuple[str, int], limit: int
     ) -> Iterator[aiohttp.ClientSession]:
         """Lend the session of the server, which opens at most ``limit`` connections."""
-        pool = self._pool(key, (server.host, server.port), max(1, limit))
+        pool = self._pool(key, address, max(1, limit))
         pool.in_use += 1
         try:
             yield pool.session
--- a/packages/daisylift-node/src/daisylift_node/process/application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/application.py
@@ -9,6 +9,7 @@
 from prometheus_client import generate_latest
 
 from daisylift.decisions.configuration import Configuration
+from daisylift.decisions.membership import MemberState
 from daisylift_node.config import ListenSettings, Settings
 from daisylift_node.connection.caller import caller_server
 from daisylift_node.connection.peers import Address, PeerLink, new_incarnation
@@ -17,9 +18,10 @@
 from daisylift_node.process import clock
 from daisylift_node.process.breaking import BreakRegister
 from daisylift_node.process.health import HealthBook
+from daisylift_node.process.idle import IdlePeers
 from daisylift_node.process.links import LinkPacer
 from daisylift_node.process.load import POLL_PERIOD_SECONDS, LoadPoller
-from daisylift_node.process.members import Members
+from daisylift_node.process.members import Member, Members
 from daisylift_node.process.membership import Membership
 from daisylift_node.process.metrics import Metrics
 from daisylift_node.process.notices import REPEAT_PERIOD_SECONDS, Notices
@@ -28,7 +30,9 @@
 from daisylift_node.process.platform import PlatformClient
 from daisylift_node.process.timer import TimerService
 from daisylift_node.request.admission import Admission
+from daisylift_node.request.elsewhere import Elsewhere
 from daisylift_node.request.exchange import Exchange
+from daisylift_node.request.forward import Forwarder
 from daisylift_node.request.guard import OpenGuard
 from daisylift_node.request.lookup import LookupHandler
 from daisylift_node.request.relay import RelayHandler
@@ -101,10 +105,26 @@
             random=random.Random(self.incarnation).random,
             closed_regions=self.links.closed_regions,
         )
+        self.peer_connections = UpstreamConnections()
+        self.elsewhere = Elsewhere(
+            idle=IdlePeers(
+                peers=self.peers,
+                others=self._others,
+                free_slots=self.admission.idle_slots,
+                clock=clock.now,
+                random=random.Random(self.incarnation).random,
+            ),
+            forwarder=Forwarder(
+                settings.vm.id, self.peer_connections, self.links, clock.now
+            ),
+            others=self._others,
+            metrics=self.metrics,
+        )
         self.relay = RelayHandler(
             guard=OpenGuard(),
             admission=self.admission,
             exchange=Exchange(self.connections, self.health, self.links, clock.now),
+            elsewhere=self.elsewhere,
             breaks=self.breaks,
             metrics=self.metrics,
             clock=clock.now,
@@ -116,6 +136,7 @@
             self.peers,
             self.membership,
             self.connections,
+            self.peer_connections,
             self.follower,
             self.timer,
         )
@@ -155,14 +176,18 @@
         """Say whether callers may be sent here."""
         return self.follower.current.version > 0 and self.members.own is not None
 
-    def _peer_addresses(self) -> list[Address]:
+    def _others(self) -> list[Member]:
         own = self.members.own.ordinal if self.members.own is not None else None
+        members = self.members.by_ordinal.items()
         return [
-            (member.claim.peer_host, member.claim.peer_port)
-            for ordinal, member in self.members.by_ordinal.items()
-            if ordinal != own
+            member
+            for ordinal, member in members
+            if ordinal != own and member.state is not MemberState.GONE
         ]
 
+    def _peer_addresses(self) -> list[Address]:
+        return [member.peer_address for member in self._others()]
+
     def _on_configuration(self, configuration: Configuration) -> None:
         self.peers.configuration_version = configuration.version
         self.permits.set_configuration(configuration)
@@ -171,6 +196,7 @@
         self.admission.set_configuration(configuration)
         self.relay.set_configuration(configuration)
         self.links.set_configuration(configuration)
+        self.elsewhere.set_configuration(configuration)
         self.load.set_configuration(configuration)
         self.connections.keep_only(self.health.by_server)
 
--- a/packages/daisylift-node/src/daisylift_node/process/load.py
+++ b/packages/daisylift-node/src/daisylift_node/process/load.py
@@ -146,7 +146,9 @@
     async def _fetch(self, key: ServerKey, server: BackendServer) -> object:
         authority = f'[{server.host}]' if ':' in server.host else server.host
         url = f'http://{authority}:{server.port}{LOAD_PATH}'
-        lease = self._connections.lease(key, server, server.connections)
+        lease = self._connections.lease(
+            key, (server.host, server.port), server.connections
+        )
         async with asyncio.timeout(POLL_TIMEOUT_SECONDS):
             with lease as session:
                 async with session.get(url, allow_redirects=False) as answer:
--- a/packages/daisylift-node/src/daisylift_node/process/metrics.py
+++ b/packages/daisylift-node/src/daisylift_node/process/metrics.py
@@ -47,6 +47,12 @@
             ['service', 'reason', 'verdict'],
             registry=self.registry,
         )
+        self.forwards = Counter(
+            'daisylift_forwards',
+            'Requests passed on to another entry VM, by outcome.',
+            ['service', 'outcome'],
+            registry=self.registry,
+        )
         self.link_bytes = Counter(
             'daisylift_link_bytes',
             'Bytes sent or asked for over a link between regions.',
--- a/packages/daisylift-node/src/daisylift_node/request/admission.py
+++ b/packages/daisylift-node/src/daisylift_node/request/admission.py
@@ -154,6 +154,14 @@
             queue.table.learn(server)
         self.server_changed(attempt.key)
 
+    def idle_slots(self, service: str) -> int:
+        """Return on how many slots requests could start now, 0 while any wait."""
+        queue = self._queues.get(service)
+        if queue is None or queue.waiting:
+            return 0
+        now = self._clock()
+        return sum(s.free for s in queue.table.by_name.values() if s.has_room(now))
+
     def waiting(self, service: str) -> int:
         """Return how many requests of the service wait."""
         queue = self._queues.get(service)
--- a/packages/daisylift-node/src/daisylift_node/request/call.py
+++ b/packages/daisylift-node/src/daisylift_node/request/call.py
@@ -36,6 +36,16 @@
     sink: AnswerSink
     is_forwarded: bool = False
 
+    @property
+    def path(self) -> str:
+        """Return the whole path and query, byte for byte as the caller wrote them."""
+        return self.request.raw_path
+
+    @property
+    def has_key(self) -> bool:
+        """Say whether the request came with a key against a second run."""
+        return self.idempotency_key is not None or self.request_id is not None
+
     @property
     def method(self) -> str:
         """Return the method."""
--- /dev/null
+++ b/packages/daisylift-node/src/daisylift_node/request/elsewhere.py
@@ -0,0 +1,50 @@
+"""Where a call may go when this node has no slot for it: other entry VMs."""
+
+from collections.abc import Callable, Sequence
+
+from daisylift.decisions.configuration import Configuration
+from daisylift.decisions.membership import MemberState
+from daisylift_node.process.idle import IdlePeers
+from daisylift_node.process.members import Member
+from daisylift_node.process.metrics import Metrics
+from daisylift_node.request.call import Call
+from daisylift_node.request.ending import Ending
+from daisylift_node.request.forward import Forwarder
+
+MAX_NAMED_VMS = 3
+
+Others = Callable[[], Sequence[Member]]
+
+
+class Elsewhere:
+    """Passes calls to peers with idle slots, and names VMs for callers to try."""
+
+    def __init__(
+        self, idle: IdlePeers, forwarder: Forwarder, others: Others, metrics: Metrics
+    ) -> None:
+        self._idle = idle
+        self._forwarder = forwarder
+        self._others = others
+        self._metrics = metrics
+        self._regions: dict[str, str] = {}
+
+    def set_configuration(self, configuration: Configuration) -> None:
+        """Take on the regions of a configuration."""
+        self._regions = configuration.policy.regions_by_failure_domain()
+
+    async def serve(self, call: Call) -> Ending | None:
+        """Pass the call on; return None when no peer has a slot."""
+        member = await self._idle.find(call.service.name)
+        if member is None:
+            return None
+        region = self._regions.get(member.claim.failure_domain, '')
+        ending = await self._forwarder.forward(call, member, region)
+        self._metrics.forwards.labels(
+            service=call.service.name, outcome=ending.outcome.value
+        ).inc()
+        return ending
+
+    def addresses(self) -> tuple[str, ...]:
+        """Return a few entry VMs for a refused caller to try."""
+        members = [m for m in self._others() if m.state is MemberState.ALIVE]
+        return tuple(member.caller_address for member in members[:MAX_NAMED_VMS])
--- a/packages/daisylift-node/src/daisylift_node/request/exchange.py
+++ b/packages/daisylift-node/src/daisylift_node/request/exchange.py
@@ -62,7 +62,7 @@
                 return await self._send(call, attempt, progress)
         except TimeoutError:
             self._note_timeout(call, attempt, started_at)
-            return _late(progress)
+            return late(progress)
         except DispatchRefusedError as error:
             return Refused(did_not_run(Reason.PERMIT_LAPSED, str(error)))
         except (aiohttp.ClientError, OSError) as error:
@@ -72,12 +72,13 @@
         started_at = self.clock()
         upload = partial(self.links.upload, attempt.region)
         download = partial(self.links.download, attempt.region)
-        lease = self.connections.lease(attempt.key, attempt.server, attempt.connections)
+        address = attempt.server.host, attempt.server.port
+        lease = self.connections.lease(attempt.key, address, attempt.connections)
         with lease as session:
             async with session.request(
                 call.method,
                 _url(call, attempt),
-                headers=_fields(call, started_at),
+                headers=request_fields(call, started_at),
                 data=call.body.payload(upload),
                 allow_redirects=False,
                 middlewares=(SendOnce(), progress.dispatch),
@@ -132,7 +133,8 @@
     return ending.outcome is Outcome.UNKNOWN
 
 
-def _late(progress: Progress) -> Ending:
+def late(progress: Progress) -> Ending:
+    """Return the ending of a try whose deadline has passed."""
     if not progress.dispatch.has_left:
         detail = 'too late to send the request'
         return Refused(did_not_run(Reason.DEADLINE_PASSED, detail))
@@ -160,8 +162,8 @@
     return URL(url, encoded=True)
 
 
-def _fields(call: Call, now: float) -> CIMultiDict[str]:
-    """Return the headers for the backend server; Host stays the caller's."""
+def request_fields(call: Call, now: float) -> CIMultiDict[str]:
+    """Return the headers for the next hop; Host stays the caller's."""
     request = call.request
     connection = request.headers.getall('Connection', ())
     fields = CIMultiDict(headers.end_to_end(request.headers.items(), connection))
--- /dev/null
+++ b/packages/daisylift-node/src/daisylift_node/request/forward.py
@@ -0,0 +1,95 @@
+"""Passes a call on to another entry VM, once."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+
+import aiohttp
+from yarl import URL
+
+from daisylift import headers
+from daisylift.decisions.configuration import ServerKey
+from daisylift.outcome import Outcome
+from daisylift_node.connection.send_once import SendOnce
+from daisylift_node.connection.upstream import Dispatch, UpstreamConnections
+from daisylift_node.process.links import LinkPacer
+from daisylift_node.process.members import Member
+from daisylift_node.request.answer import answer_fields, pass_answer
+from daisylift_node.request.call import Call
+from daisylift_node.request.ending import Answered, Ending, Refused
+from daisylift_node.request.exchange import HEAD_BYTES, Progress, late, request_fields
+from daisylift_node.request.problem import Reason, did_not_run, unknown
+
+CONNECTIONS_PER_PEER = 64
+PEER = 'peer'
+OUTCOMES = {outcome.value: outcome for outcome in Outcome}
+
+Clock = Callable[[], float]
+
+
+@dataclass(frozen=True, slots=True)
+class Forwarder:
+    """Sends calls to other entry VMs, marked so that they go no further."""
+
+    vm: str
+    connections: UpstreamConnections
+    links: LinkPacer
+    clock: Clock
+
+    async def forward(self, call: Call, member: Member, region: str) -> Ending:
+        """Pass the call to the member, and the answer back as the member gave it."""
+        deadline = call.deadline
+        progress = Progress(Dispatch(lambda: not deadline.has_passed(self.clock())))
+        try:
+            async with asyncio.timeout(deadline.left(self.clock())):
+                size = HEAD_BYTES + len(call.body.head)
+                await self.links.upload(region, size)
+                return await self._send(call, member, region, progress)
+        except TimeoutError:
+            return late(progress)
+        except (aiohttp.ClientError, OSError) as error:
+            detail = f'the entry VM it was passed to failed: {type(error).__name__}'
+            if progress.dispatch.has_left:
+                return Refused(unknown(Reason.CONNECTION_LOST, detail))
+            return Refused(did_not_run(Reason.CONNECT_FAILED, detail))
+
+    async def _send(
+        self, call: Call, member: Member, region: str, progress: Progress
+    ) -> Ending:
+        claim = member.claim
+        address = claim.caller_host, claim.caller_port
+        fields = request_fields(call, self.clock())
+        fields[headers.FORWARDED_BY] = self.vm
+        key = ServerKey(service=PEER, server=member.caller_address)
+        with self.connections.lease(key, address, CONNECTIONS_PER_PEER) as session:
+            async with session.request(
+                call.method,
+                URL(f'http://{member.caller_address}{call.path}', encoded=True),
+                headers=fields,
+                data=call.body.payload(partial(self.links.upload, region)),
+                allow_redirects=False,
+                middlewares=(SendOnce(), progress.dispatch),
+            ) as upstream:
+                return await self._answer(call, upstream, region, progress)
+
+    async def _answer(
+        self,
+        call: Call,
+        upstream: aiohttp.ClientResponse,
+        region: str,
+        progress: Progress,
+    ) -> Ending:
+        told = upstream.headers.get(headers.OUTCOME, '')
+        outcome = OUTCOMES.get(told, Outcome.UNKNOWN)
+        if outcome is Outcome.DID_NOT_RUN:
+            detail = 'the entry VM it was passed to refused it as well'
+            return Refused(did_not_run(Reason.NO_FREE_SLOT, detail))
+        progress.answer_begun = True
+        ending = await pass_answer(
+            upstream,
+            call.sink,
+            answer_fields(upstream, outcome),
+            partial(self.links.download, region),
+        )
+        return Answered(outcome) if isinstance(ending, Answered) else ending
--- a/packages/daisylift-node/src/daisylift_node/request/relay.py
+++ b/packages/daisylift-node/src/daisylift_node/request/relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 
 from aiohttp import web
 from loguru import logger
@@ -21,6 +22,7 @@
 from daisylift_node.request.admission import Admission, Attempt
 from daisylift_node.request.body import CallerBodyError
 from daisylift_node.request.call import Call, check_call
+from daisylift_node.request.elsewhere import Elsewhere
 from daisylift_node.request.ending import (
     Answered,
     BrokenOff,
@@ -30,6 +32,7 @@
 from daisylift_node.request.exchange import Exchange, ended_in_doubt
 from daisylift_node.request.guard import Guard
 from daisylift_node.request.problem import (
+    PASSING_REASONS,
     Reason,
     Refusal,
     did_not_run,
@@ -37,6 +40,9 @@
 )
 
 NO_SERVICE = ''
+PASSED_ON_REASONS = frozenset(
+    {Reason.NO_FREE_SLOT, Reason.QUEUE_FULL, Reason.LINK_SPENT}
+)
 CLOSING_REASONS = frozenset({Reason.UPGRADE_REFUSED, Reason.BAD_BODY})
 
 Clock = Callable[[], float]
@@ -50,6 +56,7 @@
         guard: Guard,
         admission: Admission,
         exchange: Exchange,
+        elsewhere: Elsewhere,
         breaks: BreakRegister,
         metrics: Metrics,
         clock: Clock,
@@ -57,6 +64,7 @@
         self._guard = guard
         self._admission = admission
         self._exchange = exchange
+        self._elsewhere = elsewhere
         self._breaks = breaks
         self._metrics = metrics
         self._clock = clock
@@ -121,7 +129,7 @@
                 return last or Refused(_breaks_servers())
             admitted = await self._admission.admit(call, tried)
             if isinstance(admitted, Failure):
-                return last or Refused(_not_admitted(call, admitted.failure()))
+                return last or await self._go_elsewhere(call, admitted.failure())
             attempt = admitted.unwrap()
             ending = await self._attempt(call, attempt)
             self._note_break(digest, ending)
@@ -137,6 +145,20 @@
             if verdict is not RetryVerdict.GRANTED:
                 return last
 
+    async def _go_elsewhere(self, call: Call, reason: Reason) -> Ending:
+        """Pass a call that got no slot on to a peer, once, or refuse it.
+
+        A key is good at the node that took the call in, so a call that has one and
+        may not be repeated stays here.
+        """
+        refused = Refused(_not_admitted(call, reason))
+        if reason not in PASSED_ON_REASONS or call.is_forwarded:
+            return refused
+        if call.has_key and not call.is_idempotent:
+            return refused
+        ending = await self._elsewhere.serve(call)
+        return ending if ending is not None else refused
+
     async def _attempt(self, call: Call, attempt: Attempt) -> Ending:
         in_doubt = True
         try:
@@ -169,6 +191,8 @@
 
     def _refuse(self, service: str, refusal: Refusal) -> web.Response:
         self._count_refusal(service, refusal)
+        if refusal.reason in PASSING_REASONS:
+            refusal = replace(refusal, other_vms=self._elsewhere.addresses())
         logger.info('refused a request of {!r}: {}', service, refusal.detail)
         response = refusal_response(refusal)
         if refusal.reason in CLOSING_REASONS:
--- a/tests/fakes/relay.py
+++ b/tests/fakes/relay.py
@@ -18,6 +18,8 @@
 from daisylift_node.process.links import LinkPacer
 from daisylift_node.process.metrics import Metrics
 from daisylift_node.request.admission import Admission
+from daisylift_node.request.call import Call
+from daisylift_node.request.elsewhere import Elsewhere
 from daisylift_node.request.exchange import Exchange
 from daisylift_node.request.guard import OpenGuard
 from daisylift_node.request.relay import RelayHandler
@@ -142,7 +144,19 @@
     )
 
 
-async def start_relay(ports: list[int], **service: Any) -> RelayNode:
+class NowhereElse:
+    """No other entry VM has a slot."""
+
+    async def serve(self, call: Call) -> None:
+        return None
+
+    def addresses(self) -> tuple[str, ...]:
+        return ('127.0.0.1:9',)
+
+
+async def start_relay(
+    ports: list[int], elsewhere: Elsewhere | None = None, **service: Any
+) -> RelayNode:
     """Start a relay before servers on these ports."""
     now = clock.now
     metrics = Metrics()
@@ -165,6 +179,7 @@
         guard=OpenGuard(),
         admission=admission,
         exchange=Exchange(connections, health, links, now),
+        elsewhere=elsewhere or NowhereElse(),
         breaks=breaks,
         metrics=metrics,
         clock=now,
--- /dev/null
+++ b/tests/test_forward.py
@@ -0,0 +1,199 @@
+"""Tests of passing requests on to an entry VM with idle slots (issue 3)."""
+
+import asyncio
+
+import aiohttp
+import pytest
+from returns.result import Failure, Success
+
+from daisylift.models import Claim
+from daisylift.schema import peer_pb2 as pb
+from daisylift_node.connection.peers import Received, TimedOut
+from daisylift_node.connection.upstream import UpstreamConnections
+from daisylift_node.process import clock
+from daisylift_node.process.idle import KEPT_SECONDS, IdlePeers
+from daisylift_node.process.members import Member
+from daisylift_node.request.forward import Forwarder
+from tests.fakes.relay import relay_before
+from tests.fakes.wire import answer_ok, drop, stay_silent
+
+
+def member(ordinal, caller_port=1):
+    return Member(
+        Claim(
+            ordinal=ordinal,
+            vm=f'vm-{ordinal}',
+            incarnation='0' * 16,
+            failure_domain='arusha-1',
+            caller_host='127.0.0.1',
+            caller_port=caller_port,
+            peer_host='127.0.0.1',
+            peer_port=1000 + ordinal,
+        )
+    )
+
+
+class ToOne:
+    """Passes everything on to one entry VM."""
+
+    def __init__(self):
+        self.node = None
+        self.port = 0
+        self.calls = 0
+        self.connections = UpstreamConnections()
+
+    async def serve(self, call):
+        self.calls += 1
+        links = self.node.links
+        forwarder = Forwarder('vm-0', self.connections, links, clock.now)
+        return await forwarder.forward(call, member(1, self.port), 'arusha')
+
+    def addresses(self):
+        return ('127.0.0.1:9',)
+
+
+class Pair:
+    """An entry VM without slots, and the one that it passes requests on to."""
+
+    def __init__(self, *scripts, there=None):
+        self.scripts = scripts
+        self.there = there if there is not None else ToOne()
+        self.here = ToOne()
+
+    async def __aenter__(self):
+        options = {'queue_timeout_seconds': 0.01}
+        self.near = relay_before(answer_ok, elsewhere=self.here, **options)
+        self.far = relay_before(*self.scripts, elsewhere=self.there, **options)
+        self.near_node, self.near_servers = await self.near.__aenter__()
+        self.far_node, self.far_servers = await self.far.__aenter__()
+        self.here.node = self.near_node
+        self.there.node = self.far_node
+        self.here.port = self.there.port = self.far_node.port
+        self.near_node.permits.slots = 0
+        self.near_node.admission.permits_changed()
+        self.session = aiohttp.ClientSession()
+        return self
+
+    async def __aexit__(self, *error):
+        await self.session.close()
+        for one in (self.here, self.there):
+            await one.connections.stop()
+        await self.far.__aexit__(*error)
+        await self.near.__aexit__(*error)
+
+    async def fetch(self, method, path, **options):
+        url = f'{self.near_node.url}{path}'
+        async with self.session.request(method, url, **options) as answer:
+            outcome = answer.headers['Daisylift-Outcome']
+            return answer.status, outcome, await answer.read()
+
+
+@pytest.mark.parametrize('size', [0, 10, 200_000])
+async def test_request_without_a_slot_is_served_by_a_peer(size):
+    async with Pair(answer_ok) as pair:
+        answer = await pair.fetch('POST', '/pay%2Fx?a=1&a=2', data=b'x' * size)
+        assert answer == (200, 'answered', b'POST /pay%2Fx?a=1&a=2 HTTP/1.1')
+        request = pair.far_servers[0].requests[0]
+        assert len(request.body) == size
+        assert request.fields()['x-forwarded-for'] == '127.0.0.1, 127.0.0.1'
+        assert 'daisylift-forwarded-by' not in request.fields()
+        assert pair.near_servers[0].requests == []
+
+
+async def test_request_is_passed_on_once_only():
+    async with Pair(answer_ok) as pair:
+        pair.far_node.permits.slots = 0
+        pair.far_node.admission.permits_changed()
+        status, outcome, _ = await pair.fetch('POST', '/pay')
+        assert (status, outcome) == (503, 'did-not-run')
+        assert (pair.here.calls, pair.there.calls) == (1, 0)
+
+
+async def test_unknown_of_the_peer_stays_unknown_and_is_not_repeated():
+    async with Pair(drop, drop) as pair:
+        status, outcome, _ = await pair.fetch('POST', '/pay')
+        assert (status, outcome) == (502, 'unknown')
+        assert sum(len(server.requests) for server in pair.far_servers) == 1
+
+
+async def test_peer_that_can_not_be_reached_ran_nothing():
+    async with Pair(answer_ok) as pair:
+        pair.here.port = 1
+        status, outcome, _ = await pair.fetch('POST', '/pay')
+        assert (status, outcome) == (502, 'did-not-run')
+
+
+async def test_deadline_goes_along_and_ends_the_wait():
+    async with Pair(stay_silent) as pair:
+        timeout = {'Daisylift-Timeout-Ms': '150'}
+        status, outcome, _ = await pair.fetch('GET', '/x', headers=timeout)
+        assert (status, outcome) == (504, 'unknown')
+        left = pair.far_servers[0].requests[0].fields()['daisylift-timeout-ms']
+        assert 0 < int(left) < 150
+
+
+async def test_request_with_a_key_stays_where_its_key_is_good():
+    async with Pair(answer_ok) as pair:
+        key = {'Idempotency-Key': 'order-1'}
+        assert (await pair.fetch('POST', '/pay', headers=key))[0] == 503
+        assert (await pair.fetch('GET', '/designs', headers=key))[0] == 200
+        assert pair.here.calls == 1
+
+
+class TellingPeers:
+    """Answers idle queries for its peers, counted by address."""
+
+    def __init__(self, slots):
+        self.slots = slots
+        self.asked = []
+
+    def subscribe(self, name, handler):
+        self.handler = handler
+
+    async def request(self, address, body, timeout_seconds):
+        self.asked.append(address[1])
+        slots = self.slots.get(address[1])
+        if slots is None:
+            return Failure(TimedOut())
+        return Success(pb.IdleAnswer(slots=slots))
+
+
+def idle_peers(slots, count=3):
+    peers = TellingPeers(slots)
+    time = [10.0]
+    idle = IdlePeers(
+        peers=peers,
+        others=lambda: [member(ordinal) for ordinal in range(count)],
+        free_slots=lambda service: 7,
+        clock=lambda: time[0],
+        random=lambda: 0.0,
+    )
+    return idle, peers, time
+
+
+async def test_idlest_peer_is_found_and_its_slots_are_counted_down():
+    idle, peers, _ = idle_peers({1000: 1, 1001: 2, 1002: None})
+    found = [await idle.find('till') for _ in range(4)]
+    assert [one and one.claim.ordinal for one in found] == [1, 0, 1, None]
+    assert len(peers.asked) == 3
+
+
+async def test_peers_are_asked_once_for_all_who_want_to_know():
+    idle, peers, time = idle_peers({1000: 0, 1001: 0, 1002: 0})
+    await asyncio.gather(*(idle.find('till') for _ in range(50)))
+    assert len(peers.asked) == 3
+    time[0] += KEPT_SECONDS
+    await idle.find('till')
+    assert len(peers.asked) == 6
+
+
+async def test_few_of_many_peers_are_asked():
+    idle, peers, _ = idle_peers({}, count=900)
+    assert await idle.find('till') is None
+    assert len(peers.asked) == 3
+
+
+def test_own_idle_slots_are_told():
+    _, peers, _ = idle_peers({})
+    query = Received(sender=None, body=pb.IdleQuery(service='till'), request_id=1)
+    assert peers.handler(query).slots == 7
