Wait for the backend server stand-ins before the demonstration begins

Cause: the stand-ins bind their 40 ports one after another, and nothing waited for the last; on a busy machine the demonstration reached ports that did not listen yet. Ruled out: the relay; the refused connections were the demonstration's own. Conclusion: Fleet.start waits for each stand-in.

--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -108,6 +108,8 @@
         for number, domain in enumerate(node_domains):
             self.nodes.append(self._node(number, domain))
             self.start_node(self.nodes[-1])
+        for port in self.server_ports().values():
+            wait_for(f'http://127.0.0.1:{port}/control')
         for node in self.nodes:
             wait_for(f'{node.operations_url}/livez')
             wait_for_port(node.operator_port)
