--- /dev/null
+++ b/bench/relay.py
@@ -0,0 +1,132 @@
+"""Measures what the relay adds over a direct call to a backend server.
+
+``python -m bench.relay`` starts the stand-ins and one node as processes, and sends the
+same requests straight to a backend server and through the node, in turns. It prints
+latency, throughput, and the node's processor time per request.
+"""
+
+import asyncio
+import json
+import os
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+import aiohttp
+
+from bench.tables import median_of, print_machine, print_table, quantile
+from tests.fakes.fleet import Fleet
+
+EXAMPLES = Path(__file__).resolve().parents[1] / 'examples'
+RUNS = 3
+SECONDS_PER_RUN = 1.0
+SEQUENTIAL = 1
+CONCURRENT = 8
+MICROSECONDS = 1e6
+TICKS_PER_SECOND = os.sysconf('SC_CLK_TCK')
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """One kind of request, and how many are under way at once."""
+
+    name: str
+    service: str
+    method: str
+    path: str
+    body: bytes = b''
+    at_once: int = SEQUENTIAL
+
+
+KINDS = (
+    Kind('GET, small answer', 'catalogue', 'GET', '/designs/12'),
+    Kind('POST, small body', 'till', 'POST', '/pay', b'{"amount": 90000}'),
+    Kind('GET, 1 MB answer', 'plates', 'GET', '/download/1000000'),
+    Kind('POST, 256 KB body', 'till', 'POST', '/pay', b'x' * 262_144),
+    Kind('GET, 8 at once', 'catalogue', 'GET', '/designs/12', at_once=CONCURRENT),
+)
+
+
+async def send_for(kind: Kind, url: str, seconds: float) -> list[float]:
+    """Send requests one after another in each of the workers; return latencies."""
+    latencies: list[float] = []
+    until = time.perf_counter() + seconds
+
+    async def worker(session: aiohttp.ClientSession) -> None:
+        while time.perf_counter() < until:
+            started = time.perf_counter()
+            async with session.request(kind.method, url, data=kind.body) as answer:
+                await answer.read()
+                if answer.status != 200:
+                    raise RuntimeError(f'{url}: status {answer.status}')
+            latencies.append(time.perf_counter() - started)
+
+    async with aiohttp.ClientSession() as session:
+        await asyncio.gather(*(worker(session) for _ in range(kind.at_once)))
+    return latencies
+
+
+def processor_seconds(pid: int) -> float:
+    """Return the processor time that a process has used."""
+    fields = Path(f'/proc/{pid}/stat').read_text().rpartition(')')[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
+
+
+def measure(kind: Kind, fleet: Fleet) -> list[object]:
+    """Return a row: direct and relayed latency, and what the relay adds."""
+    node = fleet.nodes[0]
+    ports = fleet.server_ports()
+    direct = f'http://127.0.0.1:{ports[f"{kind.service}-0"]}{kind.path}'
+    relayed = f'{node.caller_url}/v1/services/{kind.service}{kind.path}'
+    direct_p50, relayed_p50, relayed_p99, rates, costs = [], [], [], [], []
+    for _ in range(RUNS):
+        one = asyncio.run(send_for(kind, direct, SECONDS_PER_RUN))
+        direct_p50.append(quantile(one, 0.5))
+        before = processor_seconds(node.process.pid)
+        two = asyncio.run(send_for(kind, relayed, SECONDS_PER_RUN))
+        costs.append((processor_seconds(node.process.pid) - before) / len(two))
+        relayed_p50.append(quantile(two, 0.5))
+        relayed_p99.append(quantile(two, 0.99))
+        rates.append(len(two) / SECONDS_PER_RUN)
+    added = median_of(relayed_p50) - median_of(direct_p50)
+    seconds = (median_of(direct_p50), median_of(relayed_p50), median_of(relayed_p99))
+    return [
+        kind.name,
+        *(f'{one * MICROSECONDS:.0f}' for one in seconds),
+        f'{added * MICROSECONDS:.0f}',
+        f'{median_of(rates):.0f}',
+        f'{median_of(costs) * MICROSECONDS:.0f}',
+    ]
+
+
+def main() -> None:
+    """Start one node before its stand-ins, and print the table."""
+    policy = json.loads((EXAMPLES / 'kanga' / 'policy.json').read_text())
+    policy['roster'] = policy['roster'][:1]
+    print_machine()
+    with tempfile.TemporaryDirectory() as directory:
+        fleet = Fleet(directory=Path(directory), policy=policy)
+        try:
+            fleet.start([policy['roster'][0]['failure_domain']])
+            fleet.put_policy()
+            rows = [measure(kind, fleet) for kind in KINDS]
+        finally:
+            fleet.stop()
+    print_table(
+        f'One node, loopback; median of {RUNS} runs of {SECONDS_PER_RUN:.0f} s',
+        (
+            'request',
+            'direct p50 us',
+            'relayed p50 us',
+            'relayed p99 us',
+            'added p50 us',
+            'relayed per s',
+            'node processor us',
+        ),
+        rows,
+    )
+
+
+if __name__ == '__main__':
+    main()
