--- a/packages/daisylift-node/src/daisylift_node/process/application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/application.py
@@ -9,6 +9,7 @@
 from prometheus_client import generate_latest
 
 from daisylift.decisions.configuration import Configuration
+from daisylift.decisions.membership import MemberState
 from daisylift_node.config import ListenSettings, Settings
 from daisylift_node.connection.caller import caller_server
 from daisylift_node.connection.peers import Address, PeerLink, new_incarnation
@@ -18,9 +19,10 @@
 from daisylift_node.process.breaking import BreakRegister
 from daisylift_node.process.health import HealthBook
 from daisylift_node.process.idempotency import IdempotencyRecords
+from daisylift_node.process.idle import IdlePeers
 from daisylift_node.process.links import LinkPacer
 from daisylift_node.process.load import POLL_PERIOD_SECONDS, LoadPoller
-from daisylift_node.process.members import Members
+from daisylift_node.process.members import Member, Members
 from daisylift_node.process.membership import Membership
 from daisylift_node.process.metrics import Metrics
 from daisylift_node.process.notices import REPEAT_PERIOD_SECONDS, Notices
@@ -29,9 +31,11 @@
 from daisylift_node.process.platform import PlatformClient
 from daisylift_node.process.timer import TimerService
 from daisylift_node.request.admission import Admission
+from daisylift_node.request.elsewhere import Elsewhere
 from daisylift_node.request.exchange import Exchange
 from daisylift_node.request.forward import Forwarder
 from daisylift_node.request.guard import KeyGuard
+from daisylift_node.request.keyed_forward import KeyedForwarder
 from daisylift_node.request.lookup import LookupHandler
 from daisylift_node.request.relay import RelayHandler
 from daisylift_node.request.request_ids import RequestIdIssuer
@@ -109,7 +113,7 @@
         self.issuer = RequestIdIssuer(
             self.members, settings.peer.key.get_secret_value().encode()
         )
-        self.forwarder = Forwarder(settings.vm.id)
+        self.forwarder = KeyedForwarder(settings.vm.id)
         self.guard = KeyGuard(
             members=self.members,
             incarnation=self.incarnation,
@@ -119,10 +123,26 @@
             metrics=self.metrics,
             clock=clock.now,
         )
+        self.peer_connections = UpstreamConnections()
+        self.elsewhere = Elsewhere(
+            idle=IdlePeers(
+                peers=self.peers,
+                others=self._others,
+                free_slots=self.admission.idle_slots,
+                clock=clock.now,
+                random=random.Random(self.incarnation).random,
+            ),
+            forwarder=Forwarder(
+                settings.vm.id, self.peer_connections, self.links, clock.now
+            ),
+            others=self._others,
+            metrics=self.metrics,
+        )
         self.relay = RelayHandler(
             guard=self.guard,
             admission=self.admission,
             exchange=Exchange(self.connections, self.health, self.links, clock.now),
+            elsewhere=self.elsewhere,
             breaks=self.breaks,
             metrics=self.metrics,
             clock=clock.now,
@@ -134,6 +154,7 @@
             self.peers,
             self.membership,
             self.connections,
+            self.peer_connections,
             self.follower,
             self.timer,
             self.records,
@@ -179,14 +200,18 @@
         """Say whether callers may be sent here."""
         return self.follower.current.version > 0 and self.members.own is not None
 
-    def _peer_addresses(self) -> list[Address]:
+    def _others(self) -> list[Member]:
         own = self.members.own.ordinal if self.members.own is not None else None
+        members = self.members.by_ordinal.items()
         return [
-            (member.claim.peer_host, member.claim.peer_port)
-            for ordinal, member in self.members.by_ordinal.items()
-            if ordinal != own
+            member
+            for ordinal, member in members
+            if ordinal != own and member.state is not MemberState.GONE
         ]
 
+    def _peer_addresses(self) -> list[Address]:
+        return [member.peer_address for member in self._others()]
+
     def _on_configuration(self, configuration: Configuration) -> None:
         self.peers.configuration_version = configuration.version
         self.permits.set_configuration(configuration)
@@ -195,6 +220,7 @@
         self.admission.set_configuration(configuration)
         self.relay.set_configuration(configuration)
         self.links.set_configuration(configuration)
+        self.elsewhere.set_configuration(configuration)
         self.load.set_configuration(configuration)
         self.connections.keep_only(self.health.by_server)
 
--- a/packages/daisylift-node/src/daisylift_node/request/forward.py
+++ b/packages/daisylift-node/src/daisylift_node/request/forward.py
@@ -1,113 +1,95 @@
-"""Forwards a keyed call once to the VM whose memory decides about it."""
+"""Passes a call on to another entry VM, once."""
 
 import asyncio
-import json
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
 
 import aiohttp
-from multidict import CIMultiDict
 from yarl import URL
 
 from daisylift import headers
+from daisylift.decisions.configuration import ServerKey
 from daisylift.outcome import Outcome
 from daisylift_node.connection.send_once import SendOnce
-from daisylift_node.connection.upstream import READ_CHUNK_BYTES
-from daisylift_node.request import refusals
+from daisylift_node.connection.upstream import Dispatch, UpstreamConnections
+from daisylift_node.process.links import LinkPacer
+from daisylift_node.process.members import Member
 from daisylift_node.request.answer import answer_fields, pass_answer
 from daisylift_node.request.call import Call
-from daisylift_node.request.ending import Ending, Refused
-from daisylift_node.request.problem import Reason, Refusal
+from daisylift_node.request.ending import Answered, Ending, Refused
+from daisylift_node.request.exchange import HEAD_BYTES, Progress, late, request_fields
+from daisylift_node.request.problem import Reason, did_not_run, unknown
 
-CONNECT_SECONDS = 1.0
-MAX_CONNECTIONS = 100
-MAX_PROBLEM_BYTES = 16 * 1024
+CONNECTIONS_PER_PEER = 64
+PEER = 'peer'
+OUTCOMES = {outcome.value: outcome for outcome in Outcome}
 
+Clock = Callable[[], float]
 
+
+@dataclass(frozen=True, slots=True)
 class Forwarder:
     """Sends calls to other entry VMs, marked so that they go no further."""
 
-    def __init__(self, vm: str) -> None:
-        self._vm = vm
-        self._session: aiohttp.ClientSession | None = None
-
-    async def start(self) -> None:
-        """Open the connection pool."""
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=MAX_CONNECTIONS),
-            auto_decompress=False,
-            cookie_jar=aiohttp.DummyCookieJar(),
-            skip_auto_headers=(
-                'User-Agent',
-                'Accept',
-                'Accept-Encoding',
-                'Content-Type',
-            ),
-            read_bufsize=READ_CHUNK_BYTES,
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
-        )
-
-    async def stop(self) -> None:
-        """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
+    vm: str
+    connections: UpstreamConnections
+    links: LinkPacer
+    clock: Clock
 
-    async def forward(self, call: Call, address: str, now: float) -> Ending:
-        """Pass the call on, and the answer or refusal back as the other VM gave it."""
-        if self._session is None:
-            return Refused(refusals.holder_unreachable(address))
-        url = URL(f'http://{address}{call.request.raw_path}', encoded=True)
+    async def forward(self, call: Call, member: Member, region: str) -> Ending:
+        """Pass the call to the member, and the answer back as the member gave it."""
+        deadline = call.deadline
+        progress = Progress(Dispatch(lambda: not deadline.has_passed(self.clock())))
         try:
-            async with (
-                asyncio.timeout_at(call.deadline.at),
-                self._session.request(
-                    call.method,
-                    url,
-                    headers=_fields(call, self._vm, now),
-                    data=call.body.head or None,
-                    allow_redirects=False,
-                    middlewares=(SendOnce(),),
-                ) as upstream,
-            ):
-                return await _pass_back(call, upstream)
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
-            return Refused(refusals.holder_unreachable(address))
-        except (TimeoutError, aiohttp.ClientError, OSError):
-            return Refused(refusals.forward_lost(address))
-
-
-async def _pass_back(call: Call, upstream: aiohttp.ClientResponse) -> Ending:
-    outcome = upstream.headers.get(headers.OUTCOME)
-    if outcome == Outcome.ANSWERED.value:
-        fields = answer_fields(upstream, Outcome.ANSWERED)
-        return await pass_answer(upstream, call.caller, fields, _no_pace)
-    refusal = _read_refusal(await upstream.content.read(MAX_PROBLEM_BYTES))
-    return Refused(refusal or refusals.outcome_unknown())
-
-
-def _read_refusal(content: bytes) -> Refusal | None:
-    try:
-        document = json.loads(content)
-        earlier = document.get('earlier_sends')
-        return Refusal(
-            reason=Reason(document['type'].removeprefix('urn:daisylift:')),
-            outcome=Outcome(document['outcome']),
-            detail=str(document['detail']),
-            other_vms=tuple(document['other_vms']),
-            earlier_sends=None if earlier is None else Outcome(earlier),
+            async with asyncio.timeout(deadline.left(self.clock())):
+                size = HEAD_BYTES + len(call.body.head)
+                await self.links.upload(region, size)
+                return await self._send(call, member, region, progress)
+        except TimeoutError:
+            return late(progress)
+        except (aiohttp.ClientError, OSError) as error:
+            detail = f'the entry VM it was passed to failed: {type(error).__name__}'
+            if progress.dispatch.has_left:
+                return Refused(unknown(Reason.CONNECTION_LOST, detail))
+            return Refused(did_not_run(Reason.CONNECT_FAILED, detail))
+
+    async def _send(
+        self, call: Call, member: Member, region: str, progress: Progress
+    ) -> Ending:
+        claim = member.claim
+        address = claim.caller_host, claim.caller_port
+        fields = request_fields(call, self.clock())
+        fields[headers.FORWARDED_BY] = self.vm
+        key = ServerKey(service=PEER, server=member.caller_address)
+        with self.connections.lease(key, address, CONNECTIONS_PER_PEER) as session:
+            async with session.request(
+                call.method,
+                URL(f'http://{member.caller_address}{call.path}', encoded=True),
+                headers=fields,
+                data=call.body.payload(partial(self.links.upload, region)),
+                allow_redirects=False,
+                middlewares=(SendOnce(), progress.dispatch),
+            ) as upstream:
+                return await self._answer(call, upstream, region, progress)
+
+    async def _answer(
+        self,
+        call: Call,
+        upstream: aiohttp.ClientResponse,
+        region: str,
+        progress: Progress,
+    ) -> Ending:
+        told = upstream.headers.get(headers.OUTCOME, '')
+        outcome = OUTCOMES.get(told, Outcome.UNKNOWN)
+        if outcome is Outcome.DID_NOT_RUN:
+            detail = 'the entry VM it was passed to refused it as well'
+            return Refused(did_not_run(Reason.NO_FREE_SLOT, detail))
+        progress.answer_begun = True
+        ending = await pass_answer(
+            upstream,
+            call.sink,
+            answer_fields(upstream, outcome),
+            partial(self.links.download, region),
         )
-    except (AttributeError, KeyError, TypeError, ValueError):
-        return None
-
-
-def _fields(call: Call, vm: str, now: float) -> CIMultiDict[str]:
-    request = call.request
-    connection = request.headers.getall('Connection', ())
-    fields = CIMultiDict(headers.end_to_end(request.headers.items(), connection))
-    for name in ('Expect', 'Content-Length', headers.TIMEOUT_MS):
-        fields.popall(name, None)
-    fields[headers.FORWARDED_BY] = vm
-    fields[headers.TIMEOUT_MS] = call.deadline.header(now)
-    return fields
-
-
-async def _no_pace(_: int) -> None:
-    """Let parts between entry VMs pass as they come."""
+        return Answered(outcome) if isinstance(ending, Answered) else ending
--- a/packages/daisylift-node/src/daisylift_node/request/guard.py
+++ b/packages/daisylift-node/src/daisylift_node/request/guard.py
@@ -35,8 +35,8 @@
 from daisylift_node.request.body import CallerBodyError
 from daisylift_node.request.call import Call
 from daisylift_node.request.ending import Answered, BrokenOff, Ending, Refused
-from daisylift_node.request.forward import Forwarder
 from daisylift_node.request.keyed import IssuedKey, Key, read_key
+from daisylift_node.request.keyed_forward import KeyedForwarder
 from daisylift_node.request.problem import Reason, Refusal, did_not_run, unknown
 from daisylift_node.request.recorder import KeepingAnswer, replay
 from daisylift_node.request.request_ids import RequestIdIssuer
@@ -80,7 +80,7 @@
         incarnation: str,
         issuer: RequestIdIssuer,
         records: IdempotencyRecords,
-        forwarder: Forwarder,
+        forwarder: KeyedForwarder,
         metrics: Metrics,
         clock: Clock,
     ) -> None:
