Decide on stages of shifts by confirmed moves, and prove the cap over the fleet

A shift goes to its next stage only when a whole spacing (period, kept answers, lag) has passed since every live node was known to steer by every earlier stage of the service, by the deciding node's own clock, and when fresh figures show headroom. Each node also limits its own cuts to a cap a spacing.

Cause of a fault that tests/test_shifts_machine.py found: a node that had restarted on a version it had not seen come into force counted one spacing from its start, not from the confirmation of that version. It then advanced while another node had only just taken the stage before; that one restarted, and 13.3% moved in a period against a cap of 10%. A node now adopts a service as a move of everything that has still to be confirmed.

Ruled out: counting from when the deciding node saw the stage. The same machine shows it red, since a lagging node that restarts then takes two stages in one period.

--- a/packages/daisylift/src/daisylift/decisions/limiter.py
+++ b/packages/daisylift/src/daisylift/decisions/limiter.py
@@ -10,7 +10,7 @@
 
 from daisylift.decisions.shifts import ShiftKind, points_of, spacing_seconds
 from daisylift.decisions.state import Configuration
-from daisylift.decisions.steering import Cut, differing_points, step_towards
+from daisylift.decisions.steering import POINTS, Cut, differing_points, step_towards
 
 CutByHome = Mapping[str, Cut]
 
@@ -21,39 +21,35 @@
 
     cuts: dict[str, CutByHome] = field(default_factory=dict)
     _moves_by_service: dict[str, list[tuple[float, int]]] = field(default_factory=dict)
+    _evacuated: set[str] = field(default_factory=set)
 
     def step(self, configuration: Configuration, now: float) -> bool:
         """Come as near to the configuration as the caps allow; say if all is there.
 
-        A service that is new to this node is taken as it stands.
+        A service that is new to this node is taken as it stands, and counts as
+        moved just now: the node can't know how its callers were steered before.
         """
         for service in self.cuts.keys() - configuration.cuts.keys():
             del self.cuts[service]
             self._moves_by_service.pop(service, None)
         is_there = True
         for service, target in configuration.cuts.items():
-            current = self.cuts.get(service)
-            if current is target:
-                continue
-            if current is None:
+            if service not in self.cuts:
                 self.cuts[service] = target
-                continue
-            budget = self._budget(configuration, service, now)
-            is_there &= self._bring(service, current, target, budget, now)
+                self._moves_by_service[service] = [(now, POINTS)]
+            elif self.cuts[service] is not target:
+                is_there &= self._bring(configuration, service, now)
+            self._note_evacuation(configuration, service)
         return is_there
 
     def cut_of(self, service: str, home: str) -> Cut | None:
         """Return the effective cut of a home site, or None when it is not known."""
         return self.cuts.get(service, {}).get(home)
 
-    def _bring(
-        self,
-        service: str,
-        current: CutByHome,
-        target: CutByHome,
-        budget: int,
-        now: float,
-    ) -> bool:
+    def _bring(self, configuration: Configuration, service: str, now: float) -> bool:
+        self._note_evacuation(configuration, service)
+        budget = self._budget(configuration, service, now)
+        current, target = self.cuts[service], configuration.cuts[service]
         moved = 0
         after = {}
         is_there = True
@@ -70,6 +66,13 @@
             self._moves_by_service.setdefault(service, []).append((now, moved))
         return is_there
 
+    def _note_evacuation(self, configuration: Configuration, service: str) -> None:
+        """Keep the evacuation's cap until its last stage, which ends it, is taken."""
+        if _is_evacuated(configuration, service):
+            self._evacuated.add(service)
+        elif self.cuts[service] is configuration.cuts[service]:
+            self._evacuated.discard(service)
+
     def _budget(self, configuration: Configuration, service: str, now: float) -> int:
         settings = configuration.index.services_by_name[service]
         spacing = spacing_seconds(settings)
@@ -77,7 +80,7 @@
         recent = [(at, points) for at, points in moves if now - at < spacing]
         self._moves_by_service[service] = recent
         cap = settings.shift_cap
-        if _is_evacuated(configuration, service):
+        if service in self._evacuated:
             cap = max(cap, configuration.policy.evacuation_cap)
         return max(0, points_of(cap) - sum(points for _, points in recent))
 
--- a/packages/daisylift/src/daisylift/decisions/shifts.py
+++ b/packages/daisylift/src/daisylift/decisions/shifts.py
@@ -152,47 +152,80 @@
     reason: HoldReason
 
 
+@dataclass(slots=True)
+class SeenMove:
+    """A stage that a node saw come into force, and when all nodes had confirmed it."""
+
+    version: int
+    points: int
+    seen_at: float
+    confirmed_at: float | None = None
+
+
 @dataclass(slots=True)
 class MoveLedger:
     """The moves of services' traffic as seen by one node, by its monotonic clock.
 
-    A node can't know what moved before it started, so it counts its start as a move
-    of everything.
+    A stage counts as recent until a whole spacing has passed since every live node
+    was known to steer by it; for an evacuation, which can't wait for nodes that are
+    cut off, since it was seen. A node can't know what moved before it learned of a
+    service, so it counts that as a move of everything.
     """
 
-    started_at: float
-    _moves_by_service: dict[str, list[tuple[float, int]]] = field(default_factory=dict)
-
-    def note(self, service: str, points: int, now: float) -> None:
-        """Note that points of the service were seen to move."""
-        self._moves_by_service.setdefault(service, []).append((now, points))
-
-    def moved_points(self, service: str, spacing: float, now: float) -> int:
-        """Return the points moved in the last ``spacing`` seconds, at most all."""
-        if now - self.started_at < spacing:
+    _moves_by_service: dict[str, list[SeenMove]] = field(default_factory=dict)
+
+    def adopt(self, services: Iterable[str], version: int, now: float) -> None:
+        """Learn of services at a version whose past is not known."""
+        for service in services:
+            move = SeenMove(version=version, points=POINTS, seen_at=now)
+            self._moves_by_service[service] = [move]
+
+    def knows(self, service: str) -> bool:
+        """Say whether the service was learned of."""
+        return service in self._moves_by_service
+
+    def note(self, service: str, points: int, version: int, now: float) -> None:
+        """Note that a stage was seen to move points of the service."""
+        moves = self._moves_by_service.setdefault(service, [])
+        moves.append(SeenMove(version=version, points=points, seen_at=now))
+
+    def confirm(self, version: int, now: float) -> None:
+        """Note that every live node steers by the version or a later one."""
+        for moves in self._moves_by_service.values():
+            for move in moves:
+                if move.version <= version and move.confirmed_at is None:
+                    move.confirmed_at = now
+
+    def is_confirmed(self, service: str) -> bool:
+        """Say whether every live node steers by all seen stages of the service."""
+        moves = self._moves_by_service.get(service, ())
+        return all(move.confirmed_at is not None for move in moves)
+
+    def recent_points(
+        self, service: str, spacing: float, now: float, *, evacuates: bool = False
+    ) -> int:
+        """Return the points that count as recently moved, at most all."""
+        moves = self._moves_by_service.get(service)
+        if moves is None:
             return POINTS
-        moves = self._moves_by_service.get(service, [])
-        recent = [(at, points) for at, points in moves if now - at < spacing]
-        if moves:
-            self._moves_by_service[service] = recent
-        return min(POINTS, sum(points for _, points in recent))
+        moves[:] = [move for move in moves if _counts(move, spacing, now)]
+        since_seen = [move for move in moves if now - move.seen_at < spacing]
+        return min(POINTS, sum(m.points for m in (since_seen if evacuates else moves)))
 
 
 def decide_advance(
     shift: Shift,
     others: Iterable[Shift],
     service: Service,
-    recent_points: int,
+    ledger: MoveLedger,
     loads: LoadFigures,
     slots_by_site: Mapping[str, int],
-    *,
-    unconfirmed: bool,
+    now: float,
 ) -> Advance | Hold:
     """Decide whether the shift may go to its next stage now.
 
-    ``recent_points`` is what moved for this service within the last spacing, by all
-    shifts together; ``unconfirmed`` says that a live node has not yet confirmed the
-    configuration that the decision is based on.
+    The cap holds over the sum of all shifts of the service: ``others`` are the
+    shifts of the same service, and the ledger counts their moves too.
     """
     if not shift.is_active:
         return Hold(shift.name, HoldReason.NOT_ACTIVE)
@@ -201,17 +234,23 @@
         other.kind is ShiftKind.EVACUATION and other.is_active for other in others
     ):
         return Hold(shift.name, HoldReason.EVACUATION_FIRST)
+    if not evacuates and not ledger.is_confirmed(shift.service):
+        return Hold(shift.name, HoldReason.NOT_CONFIRMED)
     points = stage_points(shift)
-    if recent_points + points > shift.cap:
+    spacing = spacing_seconds(service)
+    recent = ledger.recent_points(shift.service, spacing, now, evacuates=evacuates)
+    if recent + points > shift.cap:
         return Hold(shift.name, HoldReason.PERIOD)
-    if unconfirmed and not evacuates:
-        return Hold(shift.name, HoldReason.NOT_CONFIRMED)
     reason = _load_hold(shift, service.name, points, loads, slots_by_site)
     if reason is not None:
         return Hold(shift.name, reason)
     return Advance(shift.name, shift.next_stage)
 
 
+def _counts(move: SeenMove, spacing: float, now: float) -> bool:
+    return move.confirmed_at is None or now - move.confirmed_at < spacing
+
+
 def _load_hold(
     shift: Shift,
     service: str,
