Count the bytes of peer datagrams

Cause: the 6 KB/s budget had no measure on whole processes. Ruled out: reading the system's counters, which mix in callers' traffic. Before: datagrams only.

--- a/packages/daisylift-node/src/daisylift_node/connection/peers.py
+++ b/packages/daisylift-node/src/daisylift_node/connection/peers.py
@@ -100,6 +100,8 @@
         self._drops = metrics.peer_drops
         self._sent = metrics.peer_datagrams.labels(direction='out')
         self._accepted = metrics.peer_datagrams.labels(direction='in')
+        self._bytes_out = metrics.peer_bytes.labels(direction='out')
+        self._bytes_in = metrics.peer_bytes.labels(direction='in')
         self._codec = DatagramCodec(settings.key.get_secret_value())
         self._replays = ReplayFilter()
         self._sequence = count(1)
@@ -196,6 +198,7 @@
         if dropped is not None:
             return self._drop(dropped.reason)
         self._accepted.inc()
+        self._bytes_in.inc(len(data))
         sender = _sender(envelope, address)
         for listener in self._listeners:
             listener(sender)
@@ -245,6 +248,7 @@
             raise PeerMessageError('the peer socket is not open')
         self._transport.sendto(data, address)
         self._sent.inc()
+        self._bytes_out.inc(len(data))
 
     def _drop(self, reason: DropReason) -> None:
         self._drops.labels(reason=reason.value).inc()
--- a/packages/daisylift-node/src/daisylift_node/process/metrics.py
+++ b/packages/daisylift-node/src/daisylift_node/process/metrics.py
@@ -83,6 +83,12 @@
             ['direction'],
             registry=self.registry,
         )
+        self.peer_bytes = Counter(
+            'daisylift_peer_bytes',
+            'Bytes of datagrams sent to peers and accepted from them, by direction.',
+            ['direction'],
+            registry=self.registry,
+        )
         self.peer_drops = Counter(
             'daisylift_peer_drops',
             'Datagrams of the peer port dropped, by reason.',
