Take ordinals by conditional claims, lend slots by leases, confirm versions

Cause: an ordinal was taken by whoever came with the same VM id, with nothing kept from what its predecessor was still running; a slot that moved stayed unused, as no confirmation was sent; an idle slot could not help a busy peer.

Now: choose_claim and choose_upkeep decide on conditional writes, with a fence counted by the taker's own clock and vacancies logged by epoch; Lender and Borrower keep leases whose term counts from before the ask; a released claim lists what may still run.

--- a/packages/daisylift-node/src/daisylift_node/process/application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/application.py
@@ -17,9 +17,11 @@
 from daisylift_node.errors import StartError
 from daisylift_node.process import clock
 from daisylift_node.process.breaking import BreakRegister
+from daisylift_node.process.confirming import CONFIRMING_PERIOD_SECONDS, Confirming
 from daisylift_node.process.health import HealthBook
 from daisylift_node.process.idempotency import IdempotencyRecords
 from daisylift_node.process.idle import IdlePeers
+from daisylift_node.process.lending import LENDING_PERIOD_SECONDS, Lending
 from daisylift_node.process.links import LinkPacer
 from daisylift_node.process.load import POLL_PERIOD_SECONDS, LoadPoller
 from daisylift_node.process.members import Member, Members
@@ -27,6 +29,7 @@
 from daisylift_node.process.metrics import Metrics
 from daisylift_node.process.notices import REPEAT_PERIOD_SECONDS, Notices
 from daisylift_node.process.operator import OperatorService
+from daisylift_node.process.ordinals import UPKEEP_PERIOD_SECONDS, Ordinals
 from daisylift_node.process.permits import PermitPool
 from daisylift_node.process.platform import PlatformClient
 from daisylift_node.process.timer import TimerService
@@ -83,11 +86,17 @@
             clock=clock.now,
             choice=random.Random(),
         )
-        self.members = Members(
-            settings, self.incarnation, self.platform, self.membership
-        )
+        self.members = Members(self.platform, self.membership)
         self.steering = Steering(self.members)
-        self.permits = PermitPool()
+        self.permits = PermitPool(self.incarnation)
+        self.ordinals = Ordinals(
+            settings=settings,
+            incarnation=self.incarnation,
+            platform=self.platform,
+            follower=self.follower,
+            writer=self.writer,
+            permits=self.permits,
+        )
         self.links = LinkPacer(settings.vm.failure_domain, clock.now, self.metrics)
         self.notices = Notices(self.peers, self._peer_addresses, self.metrics)
         self.health = HealthBook(self.notices.announce_drain, clock.now)
@@ -147,6 +156,17 @@
             metrics=self.metrics,
             clock=clock.now,
         )
+        self.lending = Lending(
+            permits=self.permits,
+            peers=self.peers,
+            members=self.members,
+            waiting=self.admission.waiting,
+            failure_domain=settings.vm.failure_domain,
+            metrics=self.metrics,
+        )
+        self.confirming = Confirming(
+            self.permits, self.peers, self.members, self.metrics
+        )
         self._runners: list[web.BaseRunner] = []
         self._operator_server: Server | None = None
         self._components: tuple[Component, ...] = (
@@ -169,8 +189,11 @@
         for component in self._components:
             await component.start()
         await self._refresh_members()
+        self.timer.subscribe(UPKEEP_PERIOD_SECONDS, self.ordinals.keep_up)
         self.timer.subscribe(MEMBERS_PERIOD_SECONDS, self._refresh_members)
         self.timer.subscribe(PERMITS_PERIOD_SECONDS, self.permits.tick)
+        self.timer.subscribe(LENDING_PERIOD_SECONDS, self.lending.take_turn)
+        self.timer.subscribe(CONFIRMING_PERIOD_SECONDS, self.confirming.take_turn)
         self.timer.subscribe(REFRESH_SECONDS, self.steering.refresh)
         self.timer.subscribe(POLL_PERIOD_SECONDS, self.load.poll)
         self.timer.subscribe(REPEAT_PERIOD_SECONDS, self.notices.repeat)
@@ -215,6 +238,7 @@
     def _on_configuration(self, configuration: Configuration) -> None:
         self.peers.configuration_version = configuration.version
         self.permits.set_configuration(configuration)
+        self.lending.set_configuration(configuration)
         self.steering.set_configuration(configuration)
         self.health.set_configuration(configuration, clock.now())
         self.admission.set_configuration(configuration)
@@ -225,12 +249,13 @@
         self.connections.keep_only(self.health.by_server)
 
     async def _refresh_members(self) -> None:
-        await self.members.refresh(self.follower.current)
+        await self.ordinals.refresh()
+        if (own := self.ordinals.own) is not None:
+            self.members.hold(own)
+            self.peers.ordinal = own.ordinal
+            self.load.set_ordinal(own.ordinal)
+        await self.members.refresh()
         self.steering.refresh_entries()
-        if self.members.own is not None:
-            self.peers.ordinal = self.members.own.ordinal
-            self.permits.set_ordinal(self.members.own.ordinal)
-            self.load.set_ordinal(self.members.own.ordinal)
 
     def _operations_application(self) -> web.Application:
         application = web.Application()
@@ -268,6 +293,7 @@
             follower=self.follower,
             members=self.members,
             writer=self.writer,
+            permits=self.permits,
         )
         self._operator_server = Server([service])
         try:
--- a/packages/daisylift-node/src/daisylift_node/process/members.py
+++ b/packages/daisylift-node/src/daisylift_node/process/members.py
@@ -1,12 +1,9 @@
-"""The members of the fleet, and this VM's claim of a position in its roster."""
+"""The members of the fleet by ordinal, as peers and claims tell of them."""
 
 from dataclasses import dataclass
 
-from loguru import logger
-from pydantic import ValidationError
-from returns.result import Failure, Success
+from returns.result import Failure
 
-from daisylift.decisions.configuration import Configuration
 from daisylift.decisions.membership import (
     MemberDetails,
     MemberRecord,
@@ -15,12 +12,11 @@
 )
 from daisylift.decisions.vm_list import is_watcher
 from daisylift.models import Claim
-from daisylift_node.config import Settings
 from daisylift_node.process import clock
 from daisylift_node.process.membership import Membership
-from daisylift_node.process.platform import Conflict, PlatformClient, StoredObject
+from daisylift_node.process.ordinals import KIND, parse_claim
+from daisylift_node.process.platform import PlatformClient
 
-KIND = 'claims'
 READ_PERIOD_SECONDS = 30.0
 
 
@@ -43,21 +39,13 @@
 
 
 class Members:
-    """Claims an ordinal for this VM and knows who holds the others.
+    """Knows who holds which ordinal; ``own`` is this VM's claim.
 
     Members come from the peers' word; the claims in the platform are read at the
     start, and later by the few nodes that watch the platform, at a long period.
     """
 
-    def __init__(
-        self,
-        settings: Settings,
-        incarnation: str,
-        platform: PlatformClient,
-        membership: Membership,
-    ) -> None:
-        self.settings = settings
-        self.incarnation = incarnation
+    def __init__(self, platform: PlatformClient, membership: Membership) -> None:
         self.platform = platform
         self.membership = membership
         self.own: Claim | None = None
@@ -75,18 +63,19 @@
             self._by_ordinal = {o: _member(o, record) for o, record in holders.items()}
         return self._by_ordinal
 
-    async def refresh(self, configuration: Configuration) -> None:
-        """Claim an ordinal if this VM has none; read the claims if it is time.
-
-        They are read again after an own claim, so that of any two VMs that start
-        together the later one to claim finds the other.
-        """
-        if self.own is None:
-            await self._claim(configuration)
+    async def refresh(self) -> None:
+        """Read the claims if it is time."""
         now = clock.now()
         if self._must_read(now):
             await self._read(now)
 
+    def hold(self, claim: Claim) -> None:
+        """Take in that this VM holds an ordinal, and tell peers."""
+        if self.own != claim:
+            self.own = claim
+            self._read_at = None
+            self.membership.say_ordinal(claim.ordinal)
+
     def _must_read(self, now: float) -> bool:
         if self._read_at is None:
             return True
@@ -100,51 +89,10 @@
             return
         self._read_at = now
         for stored in listing.unwrap().objects:
-            claim = _parse(stored)
-            if claim is not None and not claim.released:
+            claim = parse_claim(stored)
+            if isinstance(claim, Claim) and not claim.released:
                 self.membership.learn(_record(claim))
 
-    async def _claim(self, configuration: Configuration) -> None:
-        for entry in configuration.policy.roster:
-            if entry.failure_domain != self.settings.vm.failure_domain:
-                continue
-            if await self._claim_ordinal(entry.ordinal):
-                return
-        logger.warning('no ordinal of the roster is free for this VM')
-
-    async def _claim_ordinal(self, ordinal: int) -> bool:
-        claim = self._claim_of(ordinal)
-        value = claim.model_dump(mode='json')
-        result = await self.platform.create(KIND, str(ordinal), value)
-        match result:
-            case Failure(Conflict(current=StoredObject() as current)):
-                holder = _parse(current)
-                if holder is None or holder.vm != claim.vm:
-                    return False
-                result = await self.platform.update(
-                    KIND, str(ordinal), value, current.version
-                )
-        if not isinstance(result, Success):
-            return False
-        self.own = claim
-        self._read_at = None
-        self.membership.say_ordinal(ordinal)
-        logger.info('holds ordinal {}', ordinal)
-        return True
-
-    def _claim_of(self, ordinal: int) -> Claim:
-        settings = self.settings
-        return Claim(
-            ordinal=ordinal,
-            vm=settings.vm.id,
-            incarnation=self.incarnation,
-            failure_domain=settings.vm.failure_domain,
-            caller_host=settings.caller.host,
-            caller_port=settings.caller.port,
-            peer_host=settings.peer.host,
-            peer_port=settings.peer.port,
-        )
-
 
 def usable_members(by_ordinal: dict[int, Member]) -> list[Member]:
     """Return whom callers may be sent to: the alive, else the suspect."""
@@ -180,11 +128,3 @@
         ordinal=claim.ordinal,
     )
     return MemberRecord(claim.vm, claim.incarnation, 0, details)
-
-
-def _parse(stored: StoredObject) -> Claim | None:
-    try:
-        return Claim.model_validate(stored.value)
-    except ValidationError as error:
-        logger.error('unreadable claim {}: {}', stored.name, error)
-        return None
--- a/packages/daisylift-node/src/daisylift_node/process/metrics.py
+++ b/packages/daisylift-node/src/daisylift_node/process/metrics.py
@@ -131,6 +131,17 @@
             ['write', 'result'],
             registry=self.registry,
         )
+        self.leases = Counter(
+            'daisylift_leases',
+            'Steps of permit leases, by service and step.',
+            ['service', 'step'],
+            registry=self.registry,
+        )
+        self.unconfirmed_ordinals = Gauge(
+            'daisylift_unconfirmed_ordinals',
+            'Ordinals whose confirmation own slots wait for.',
+            registry=self.registry,
+        )
         self.request_seconds = Histogram(
             'daisylift_request_seconds',
             'Time from the request to the end of its answer.',
--- a/packages/daisylift-node/src/daisylift_node/process/operator.py
+++ b/packages/daisylift-node/src/daisylift_node/process/operator.py
@@ -24,6 +24,7 @@
 from daisylift.schema import operator_pb2 as pb
 from daisylift.schema.operator_grpc import OperatorBase
 from daisylift_node.process.members import Members
+from daisylift_node.process.permits import PermitPool
 from daisylift_node.process.replies import (
     change_reply,
     malformed_reply,
@@ -58,7 +59,9 @@
         follower: ConfigurationFollower,
         members: Members,
         writer: ChangeWriter,
+        permits: PermitPool,
     ) -> None:
+        self._permits = permits
         self._vm = vm
         self._key = key
         self._follower = follower
@@ -150,6 +153,7 @@
                 failure_domain=member.claim.failure_domain,
                 caller_address=member.caller_address,
                 state=member.state.value,
+                confirmed_version=self._permits.confirmed(ordinal),
             )
             for ordinal, member in sorted(self._members.by_ordinal.items())
         ]
--- /dev/null
+++ b/packages/daisylift-node/src/daisylift_node/process/ordinals.py
@@ -0,0 +1,287 @@
+"""The ordinal of this VM: taken, kept and released; and care for VMs that are gone."""
+
+from loguru import logger
+from pydantic import TypeAdapter, ValidationError
+from returns.result import Failure, Result, Success
+
+from daisylift.decisions.leases import LEASE_TERM_SECONDS, loan_seconds
+from daisylift.decisions.ordinals import (
+    Absences,
+    Fence,
+    Hold,
+    RecordEpoch,
+    StoredClaim,
+    Take,
+    Vacate,
+    choose_claim,
+    choose_upkeep,
+    is_warden,
+)
+from daisylift.models import Change, Claim, SetOrdinalEpoch, Vacancy
+from daisylift_node.config import Settings
+from daisylift_node.process.permits import PermitPool
+from daisylift_node.process.platform import (
+    Conflict,
+    PlatformClient,
+    PlatformFailure,
+    StoredObject,
+    Uncertain,
+)
+from daisylift_node.version.change_writer import Accepted, ChangeWriter, Conflicted
+from daisylift_node.version.configuration import ConfigurationFollower
+
+KIND = 'claims'
+PATIENCE_SECONDS = 30.0
+UPKEEP_PERIOD_SECONDS = 5.0
+EPOCH_ATTEMPTS = 5
+PAGE_SIZE = 1000
+
+_RECORD = TypeAdapter(Claim | Vacancy)
+
+
+class Ordinals:
+    """Takes an ordinal for this VM by conditional writes, and needs no renewal."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        incarnation: str,
+        platform: PlatformClient,
+        follower: ConfigurationFollower,
+        writer: ChangeWriter,
+        permits: PermitPool,
+    ) -> None:
+        self.own: Claim | None = None
+        self._settings = settings
+        self._incarnation = incarnation
+        self._platform = platform
+        self._follower = follower
+        self._writer = writer
+        self._permits = permits
+        self._absences = Absences(settings.vm.id)
+        self._stored_version = 0
+        self._written: Claim | None = None
+        self._take: Take | None = None
+        self._taken_at = 0.0
+        self._is_stopping = False
+
+    async def refresh(self) -> None:
+        """Take the next step towards an ordinal of this VM's own."""
+        if self.own is not None or self._is_stopping:
+            return
+        if not self._follower.current.policy.roster:
+            return
+        if self._written is None:
+            await self._claim()
+        if self._written is not None:
+            await self._activate(self._written)
+
+    async def keep_up(self) -> None:
+        """Look after the ordinals of gone VMs, if this node is one of the wardens."""
+        configuration = self._follower.current
+        if self.own is None or not is_warden(configuration, self.own.ordinal):
+            return
+        stored = await self._observe()
+        if stored is None:
+            return
+        now = self._permits.now()
+        steps = choose_upkeep(
+            self._follower.current, stored, self._absences, self._fence(), now
+        )
+        for step in steps:
+            match step:
+                case RecordEpoch(ordinal=ordinal, epoch=epoch):
+                    await self._record_epoch(ordinal, epoch)
+                case Vacate():
+                    await self._vacate(step)
+
+    async def release(self) -> bool:
+        """Write that this VM leaves its ordinal, and what may still run on its slots.
+
+        Own slots are not used from here on. Return whether the release is written;
+        without it a successor waits for the longest lease and request.
+        """
+        self._is_stopping = True
+        claim, self.own = self.own, None
+        if claim is None:
+            return False
+        now = self._permits.now()
+        confirmed = self._permits.ledger.confirmed_version(now)
+        left = self._permits.lender.left_behind(now)
+        self._permits.drop_ordinal()
+        if confirmed is None:
+            return False
+        released = claim.model_copy(
+            update={
+                'released': True,
+                'confirmed_version': confirmed,
+                'handed_over': left,
+            }
+        )
+        result = await self._write(released, self._stored_version)
+        logger.info('released ordinal {}: {}', claim.ordinal, result)
+        return isinstance(result, Success)
+
+    async def _claim(self) -> None:
+        stored = await self._observe()
+        if stored is None:
+            return
+        settings = self._settings.vm
+        step = choose_claim(
+            self._follower.current,
+            stored,
+            self._absences,
+            self._fence(),
+            vm=settings.id,
+            incarnation=self._incarnation,
+            failure_domain=settings.failure_domain,
+            now=self._permits.now(),
+        )
+        match step:
+            case Hold(claim=claim):
+                self._written = claim
+                self._stored_version = stored[claim.ordinal].version
+            case Take():
+                await self._take_ordinal(step)
+            case None:
+                logger.info('no ordinal of the roster is free for this VM')
+
+    async def _take_ordinal(self, take: Take) -> None:
+        self._take = take
+        self._taken_at = self._permits.now()
+        claim = self._claim_of(take)
+        match await self._write(claim, take.version):
+            case Success(stored):
+                self._written = claim
+                self._stored_version = stored.version
+            case Failure(failure):
+                logger.info('did not get ordinal {}: {}', take.ordinal, failure)
+
+    async def _activate(self, claim: Claim) -> None:
+        """Use the share only under the log as it is after the claim was written."""
+        if not await self._follower.catch_up():
+            return
+        logged = self._follower.current.epochs.get(claim.ordinal, 0)
+        is_logged = logged >= claim.epoch
+        if not is_logged and not await self._record_epoch(claim.ordinal, claim.epoch):
+            return
+        self._permits.take_ordinal(claim, self._held_until())
+        predecessor = self._take.predecessor if self._take is not None else None
+        if predecessor is not None and self._take.is_fenced:
+            self._permits.lender.inherit(predecessor, self._permits.now())
+        self.own = claim
+        logger.info('holds ordinal {}', claim.ordinal)
+
+    def _held_until(self) -> dict[str, float]:
+        """Return until when a predecessor's work may last, by service."""
+        if self._take is None or self._take.is_fenced:
+            return {}
+        until = self._taken_at + self._fence().fence_seconds
+        services = self._follower.current.policy.services
+        return {service.name: until for service in services}
+
+    async def _observe(self) -> dict[int, StoredClaim] | None:
+        """Read the claims and the VM list; None unless the list has this VM."""
+        stored = await self._read()
+        vms = await self._platform.list_vms()
+        if stored is None or isinstance(vms, Failure):
+            return None
+        listed = [vm.id for vm in vms.unwrap()]
+        if self._absences.observe(listed, stored.values(), self._permits.now()):
+            return stored
+        logger.warning('the VM list does not have this VM')
+        return None
+
+    async def _read(self) -> dict[int, StoredClaim] | None:
+        roster = self._follower.current.policy.roster
+        stored = {e.ordinal: StoredClaim(e.ordinal) for e in roster}
+        after = ''
+        while True:
+            page = await self._platform.list(KIND, after=after, limit=PAGE_SIZE)
+            if isinstance(page, Failure):
+                return None
+            objects = page.unwrap().objects
+            for one in objects:
+                record = parse_claim(one)
+                if record is not None:
+                    stored[record.ordinal] = StoredClaim(
+                        record.ordinal, one.version, record
+                    )
+            if len(objects) < PAGE_SIZE:
+                return stored
+            after = objects[-1].name
+
+    async def _write(
+        self, record: Claim | Vacancy, version: int
+    ) -> Result[StoredObject, PlatformFailure]:
+        """Write on a condition; a lost answer is resolved by reading back."""
+        name = str(record.ordinal)
+        value = record.model_dump(mode='json')
+        if version == 0:
+            result = await self._platform.create(KIND, name, value)
+        else:
+            result = await self._platform.update(KIND, name, value, version)
+        match result:
+            case Failure(Conflict(current=StoredObject() as current)):
+                if current.value == value:
+                    return Success(current)
+            case Failure(Uncertain()):
+                found = await self._platform.get(KIND, name)
+                if isinstance(found, Success) and found.unwrap().value == value:
+                    return found
+        return result
+
+    async def _vacate(self, step: Vacate) -> None:
+        vacancy = Vacancy(ordinal=step.ordinal, epoch=step.epoch)
+        result = await self._write(vacancy, step.version)
+        logger.info('ordinal {} is vacant: {}', step.ordinal, result)
+        if isinstance(result, Success):
+            await self._record_epoch(step.ordinal, step.epoch)
+
+    async def _record_epoch(self, ordinal: int, epoch: int) -> bool:
+        for _ in range(EPOCH_ATTEMPTS):
+            change = Change(
+                version=self._follower.current.version + 1,
+                operation_id=f'ordinal-{ordinal}-epoch-{epoch}',
+                operator=self._settings.vm.id,
+                body=SetOrdinalEpoch(ordinal=ordinal, epoch=epoch),
+            )
+            match await self._writer.submit(change):
+                case Accepted():
+                    return True
+                case Conflicted():
+                    continue
+                case other:
+                    logger.info('epoch {} of {}: {}', epoch, ordinal, other)
+                    return False
+        return False
+
+    def _fence(self) -> Fence:
+        longest = self._permits.ledger.longest_request_seconds()
+        return Fence(
+            fence_seconds=loan_seconds(LEASE_TERM_SECONDS, longest),
+            patience_seconds=PATIENCE_SECONDS,
+        )
+
+    def _claim_of(self, take: Take) -> Claim:
+        settings = self._settings
+        return Claim(
+            ordinal=take.ordinal,
+            epoch=take.epoch,
+            vm=settings.vm.id,
+            incarnation=self._incarnation,
+            failure_domain=settings.vm.failure_domain,
+            caller_host=settings.caller.host,
+            caller_port=settings.caller.port,
+            peer_host=settings.peer.host,
+            peer_port=settings.peer.port,
+        )
+
+
+def parse_claim(stored: StoredObject) -> Claim | Vacancy | None:
+    """Return what the platform holds for an ordinal, or None when it is unreadable."""
+    try:
+        return _RECORD.validate_python(stored.value)
+    except ValidationError as error:
+        logger.error('unreadable claim {}: {}', stored.name, error)
+        return None
--- a/packages/daisylift-node/src/daisylift_node/process/permits.py
+++ b/packages/daisylift-node/src/daisylift_node/process/permits.py
@@ -1,10 +1,12 @@
 """The permits of this node: which slots of which backend servers it may use."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from daisylift.decisions.configuration import Configuration, ServerKey
-from daisylift.decisions.permit import Permit
-from daisylift.decisions.permits import DOUBT_GRACE_SECONDS, PermitLedger
+from daisylift.decisions.leases import Borrower, Lender
+from daisylift.decisions.permit import DOUBT_GRACE_SECONDS, Permit
+from daisylift.decisions.permits import PermitLedger
+from daisylift.models import Claim
 from daisylift_node.process import clock
 
 __all__ = ['Permit', 'PermitPool']
@@ -16,25 +18,35 @@
 class PermitPool:
     """Hands out permits, and tells its listeners when slots may be free again."""
 
-    def __init__(self, now: Clock = clock.now) -> None:
+    def __init__(self, incarnation: str = '', now: Clock = clock.now) -> None:
         self.ledger = PermitLedger()
+        self.lender = Lender(self.ledger, incarnation)
+        self.borrower = Borrower(self.ledger)
         self.now = now
+        self._is_held = False
         self._listeners: list[Listener] = []
 
     def subscribe(self, listener: Listener) -> None:
         """Call the listener when slots may have become free, but for a release."""
         self._listeners.append(listener)
 
-    def set_ordinal(self, ordinal: int, epoch: int = 0) -> None:
-        """Take on the share of an ordinal."""
-        if self.ledger.ordinal != ordinal or self.ledger.epoch != epoch:
-            self.ledger.set_ordinal(ordinal, epoch)
-        self._announce()
+    def take_ordinal(self, claim: Claim, held_until: Mapping[str, float]) -> None:
+        """Take on the share of a claimed ordinal.
+
+        ``held_until`` gives, by service, how long a predecessor's requests may run.
+        """
+        self.ledger.set_ordinal(claim.ordinal, claim.epoch, held_until)
+        self.announce()
+
+    def drop_ordinal(self) -> None:
+        """Stop using own slots, as another process may get the ordinal."""
+        self.ledger.drop_ordinal()
+        self.announce()
 
     def set_configuration(self, configuration: Configuration) -> None:
         """Take on the share under a later configuration."""
         self.ledger.set_configuration(configuration, self.now())
-        self._announce()
+        self.announce()
 
     def free_slots(self, server: ServerKey) -> int:
         """Return on how many slots of the server this node could start a request."""
@@ -74,11 +86,25 @@
         """Let a server that starts cold get its slots one after another."""
         self.ledger.mark_cold(server, self.now())
 
+    def confirmed(self, ordinal: int) -> int:
+        """Return the version that an ordinal is known to have confirmed, or 0."""
+        if ordinal == self.ledger.ordinal:
+            return self.ledger.confirmed_version(self.now()) or 0
+        return self.ledger.confirmations.confirmed(ordinal)
+
     async def tick(self) -> None:
-        """Free the slots whose doubt is over, and tell those who wait."""
-        if self.ledger.expire(self.now()):
-            self._announce()
+        """Free the slots whose doubt or lease is over, and tell those who wait."""
+        now = self.now()
+        is_expired = self.ledger.expire(now)
+        if self.lender.expire(now) or is_expired or self._ends_hold(now):
+            self.announce()
+
+    def _ends_hold(self, now: float) -> bool:
+        """Say whether the wait for a predecessor has ended since the last call."""
+        before, self._is_held = self._is_held, self.ledger.is_held(now)
+        return before and not self._is_held
 
-    def _announce(self) -> None:
+    def announce(self) -> None:
+        """Tell the listeners that slots may have become free."""
         for listener in self._listeners:
             listener()
--- /dev/null
+++ b/packages/daisylift/src/daisylift/decisions/leases.py
@@ -0,0 +1,299 @@
+"""Permit leases: a node lends idle slots to a peer, in batches and for a short term.
+
+The lender counts what it lent as used until it is given back, or until the term, the
+longest request and a margin are over by the lender's clock. The borrower counts the
+term from before it asked, by its own clock. So however messages are lost, late,
+doubled or crossed, and whoever was frozen, no slot is used by both.
+"""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+
+from daisylift.decisions.configuration import ServerKey
+from daisylift.decisions.confirmations import Masks
+from daisylift.decisions.permit import BorrowedSlots, LeaseKey
+from daisylift.decisions.permits import PermitLedger
+from daisylift.models import Claim, HandedOver
+
+LEASE_TERM_SECONDS = 4.0
+MARGIN_SECONDS = 0.5
+CLOCK_RATE_MARGIN = 0.01
+MAX_LOANS = 4096
+MAX_PENDING_ASKS = 256
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseAsk:
+    """A borrower's request for some slots of a service, or to renew a lease.
+
+    ``held`` names, in a renewal, the slots that the borrower still has.
+    """
+
+    number: int
+    lender: int
+    service: str
+    count: int = 0
+    renew: LeaseKey | None = None
+    held: Mapping[ServerKey, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseGrant:
+    """A lender's answer; the term counts from before the borrower asked."""
+
+    ask: int
+    lease: LeaseKey
+    masks: Mapping[ServerKey, int]
+    term_seconds: float
+    longest_request_seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseReturn:
+    """Slots that a borrower does not use any more, nor ever will under this lease."""
+
+    lease: LeaseKey
+    masks: Mapping[ServerKey, int]
+
+
+@dataclass(slots=True)
+class Loan:
+    """Slots lent under one lease, counted as used until the time is over."""
+
+    lease: LeaseKey
+    masks: Masks
+    until: float
+
+
+def loan_seconds(term_seconds: float, longest_request_seconds: float) -> float:
+    """Return how long a lender counts slots as used from the moment it lends them."""
+    seconds = term_seconds + longest_request_seconds
+    return seconds * (1 + CLOCK_RATE_MARGIN) + MARGIN_SECONDS
+
+
+class Lender:
+    """Lends this node's own idle slots, and keeps the books on them."""
+
+    def __init__(self, ledger: PermitLedger, incarnation: str) -> None:
+        self.loans: dict[LeaseKey, Loan] = {}
+        self._ledger = ledger
+        self._incarnation = incarnation
+        self._numbers = 0
+
+    def grant(
+        self,
+        ask: LeaseAsk,
+        now: float,
+        spare: int,
+        term_seconds: float = LEASE_TERM_SECONDS,
+    ) -> LeaseGrant | None:
+        """Return a grant of at most ``spare`` slots, or None."""
+        self.expire(now)
+        if self._ledger.ordinal is None or ask.lender != self._ledger.ordinal:
+            return None
+        if ask.renew is not None:
+            return self._renew(ask, now, term_seconds)
+        masks = self._choose(ask.service, min(ask.count, spare), now)
+        if not masks or len(self.loans) >= MAX_LOANS:
+            return None
+        self._numbers += 1
+        lease = LeaseKey(self._ledger.ordinal, self._incarnation, self._numbers)
+        seconds = self._ledger.request_seconds(ask.service)
+        until = now + loan_seconds(term_seconds, seconds)
+        self.loans[lease] = Loan(lease, dict(masks), until)
+        for server, mask in masks.items():
+            self._ledger.lend(server, mask)
+        return LeaseGrant(ask.number, lease, masks, term_seconds, seconds)
+
+    def take_back(self, returned: LeaseReturn) -> bool:
+        """Free slots that a borrower gave back; say if any were lent still."""
+        loan = self.loans.get(returned.lease)
+        if loan is None:
+            return False
+        for server, mask in returned.masks.items():
+            self._end(loan, server, mask)
+        return True
+
+    def inherit(self, predecessor: Claim, now: float) -> None:
+        """Count slots as lent that a predecessor handed over or left in use."""
+        for left in predecessor.handed_over:
+            lease = LeaseKey(predecessor.ordinal, predecessor.incarnation, left.lease)
+            loan = self.loans.setdefault(lease, Loan(lease, {}, now))
+            server = ServerKey(left.service, left.server)
+            mask = int(left.slots, 16)
+            loan.masks[server] = loan.masks.get(server, 0) | mask
+            loan.until = max(loan.until, now + left.seconds)
+            self._ledger.inherit(server, mask, predecessor.confirmed_version)
+
+    def left_behind(self, now: float) -> tuple[HandedOver, ...]:
+        """Return what a successor has to count as lent if this node ends now."""
+        left = [
+            _handed_over(server, mask, 0, self._ledger.request_seconds(server.service))
+            for server, mask in self._ledger.in_use()
+        ]
+        for loan in self.loans.values():
+            seconds = max(0.0, loan.until - now)
+            for server, mask in loan.masks.items():
+                left.append(_handed_over(server, mask, loan.lease.number, seconds))
+        return tuple(left)
+
+    def expire(self, now: float) -> bool:
+        """Free the slots whose lease and last request must be over; say if any."""
+        over = [loan for loan in self.loans.values() if loan.until <= now]
+        for loan in over:
+            for server, mask in list(loan.masks.items()):
+                self._end(loan, server, mask)
+        return bool(over)
+
+    def _renew(
+        self, ask: LeaseAsk, now: float, term_seconds: float
+    ) -> LeaseGrant | None:
+        loan = self.loans.get(ask.renew)
+        if loan is None or not self._may_extend(loan):
+            return None
+        for server, mask in list(loan.masks.items()):
+            self._end(loan, server, mask & ~ask.held.get(server, 0))
+        if ask.renew not in self.loans:
+            return None
+        seconds = self._ledger.request_seconds(ask.service)
+        loan.until = max(loan.until, now + loan_seconds(term_seconds, seconds))
+        masks = dict(loan.masks)
+        return LeaseGrant(ask.number, loan.lease, masks, term_seconds, seconds)
+
+    def _may_extend(self, loan: Loan) -> bool:
+        """Say no to what this node lost since, as others wait for its confirmation."""
+        return all(
+            self._ledger.keeps(server, mask) for server, mask in loan.masks.items()
+        )
+
+    def _choose(self, service: str, count: int, now: float) -> Masks:
+        """Take slots from the servers with the most idle ones first, one by one."""
+        masks: Masks = {}
+        idle = dict(self._ledger.idle_masks(service, now))
+        for _ in range(count):
+            server = max(idle, key=lambda s: idle[s].bit_count(), default=None)
+            if server is None or not idle[server]:
+                break
+            slot = idle[server] & -idle[server]
+            idle[server] &= ~slot
+            masks[server] = masks.get(server, 0) | slot
+        return masks
+
+    def _end(self, loan: Loan, server: ServerKey, mask: int) -> None:
+        mask &= loan.masks.get(server, 0)
+        if not mask:
+            return
+        self._ledger.end_loan(server, mask)
+        loan.masks[server] &= ~mask
+        if not loan.masks[server]:
+            del loan.masks[server]
+        if not loan.masks:
+            del self.loans[loan.lease]
+
+
+@dataclass(frozen=True, slots=True)
+class _PendingAsk:
+    ask: LeaseAsk
+    asked_at: float
+
+
+class Borrower:
+    """Asks peers for slots, and uses them only within the term."""
+
+    def __init__(self, ledger: PermitLedger) -> None:
+        self._ledger = ledger
+        self._numbers = 0
+        self._pending: dict[int, _PendingAsk] = {}
+
+    def ask(self, lender: int, service: str, count: int, now: float) -> LeaseAsk:
+        """Return a request for new slots; the term counts from now."""
+        return self._note(LeaseAsk(self._next(), lender, service, count), now)
+
+    def ask_to_renew(self, lease: LeaseKey, now: float) -> LeaseAsk | None:
+        """Return a request to renew a lease for the slots that are still held."""
+        held = {s.server: s.mask for s in self._ledger.borrowed() if s.lease == lease}
+        if not held:
+            return None
+        service = next(iter(held)).service
+        ask = LeaseAsk(self._next(), lease.lender, service, renew=lease, held=held)
+        return self._note(ask, now)
+
+    def accept(self, grant: LeaseGrant, now: float) -> LeaseReturn | None:
+        """Use what was granted; return what has to be given back at once."""
+        pending = self._pending.pop(grant.ask, None)
+        known = [s for s in self._ledger.borrowed() if s.lease == grant.lease]
+        if pending is None:
+            return None if known else LeaseReturn(grant.lease, grant.masks)
+        valid_until = pending.asked_at + grant.term_seconds
+        if pending.ask.renew is not None:
+            _extend(known, grant, valid_until)
+            return None
+        if known or valid_until <= now:
+            return None if known else LeaseReturn(grant.lease, grant.masks)
+        for server, mask in grant.masks.items():
+            self._ledger.borrow(
+                BorrowedSlots(
+                    lease=grant.lease,
+                    server=server,
+                    mask=mask,
+                    valid_until=valid_until,
+                    longest_request_seconds=grant.longest_request_seconds,
+                )
+            )
+        return None
+
+    def forget(self, number: int) -> None:
+        """Expect no answer any more to that request."""
+        self._pending.pop(number, None)
+
+    def give_back(self, lease: LeaseKey, count: int | None = None) -> LeaseReturn:
+        """Give up slots of a lease that are not in use, all or at most so many."""
+        masks: Masks = {}
+        for slots in list(self._ledger.borrowed()):
+            if slots.lease != lease:
+                continue
+            mask = slots.mask & ~slots.used
+            if count is not None:
+                mask = _lowest_bits(mask, count)
+                count -= mask.bit_count()
+            if mask:
+                masks[slots.server] = mask
+                self._ledger.give_back(slots, mask)
+        return LeaseReturn(lease, masks)
+
+    def _next(self) -> int:
+        self._numbers += 1
+        return self._numbers
+
+    def _note(self, ask: LeaseAsk, now: float) -> LeaseAsk:
+        while len(self._pending) >= MAX_PENDING_ASKS:
+            del self._pending[next(iter(self._pending))]
+        self._pending[ask.number] = _PendingAsk(ask, now)
+        return ask
+
+
+def _handed_over(
+    server: ServerKey, mask: int, lease: int, seconds: float
+) -> HandedOver:
+    return HandedOver(
+        service=server.service,
+        server=server.server,
+        slots=f'{mask:x}',
+        lease=lease,
+        seconds=seconds * (1 + CLOCK_RATE_MARGIN),
+    )
+
+
+def _extend(
+    known: Sequence[BorrowedSlots], grant: LeaseGrant, valid_until: float
+) -> None:
+    for slots in known:
+        if slots.mask & ~grant.masks.get(slots.server, 0) == 0:
+            slots.valid_until = max(slots.valid_until, valid_until)
+
+
+def _lowest_bits(mask: int, count: int) -> int:
+    chosen = 0
+    for _ in range(count):
+        chosen |= (mask & ~chosen) & -(mask & ~chosen)
+    return chosen
--- /dev/null
+++ b/packages/daisylift/src/daisylift/decisions/ordinals.py
@@ -0,0 +1,237 @@
+"""Who may hold which ordinal of the roster: claims, fences and vacancies.
+
+A claim needs no renewal. It passes to another VM only when it was released, or when
+the platform's VM list has been without its VM for the fence time, by the taker's own
+monotonic clock. Every step is a conditional write on the version that was decided on.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from daisylift.decisions.configuration import Configuration
+from daisylift.decisions.ring import stable_hash
+from daisylift.models import Claim, RosterEntry, Vacancy
+
+WARDENS_PER_FAILURE_DOMAIN = 2
+
+
+@dataclass(frozen=True, slots=True)
+class StoredClaim:
+    """What the platform holds for an ordinal; version 0 when it holds nothing."""
+
+    ordinal: int
+    version: int = 0
+    record: Claim | Vacancy | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Hold:
+    """The VM's own process holds the ordinal already; an answer had been lost."""
+
+    claim: Claim
+
+
+@dataclass(frozen=True, slots=True)
+class Take:
+    """Write a claim at this epoch, if the stored version is still the one seen.
+
+    ``predecessor`` is the claim that is replaced, if there was one; ``is_fenced`` says
+    that its requests and leases are over.
+    """
+
+    ordinal: int
+    version: int
+    epoch: int
+    predecessor: Claim | None = None
+    is_fenced: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Vacate:
+    """Write a vacancy at this epoch, if the stored version is still the one seen."""
+
+    ordinal: int
+    version: int
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class RecordEpoch:
+    """Append the epoch to the change log, as the stored claim is ahead of it."""
+
+    ordinal: int
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class Fence:
+    """How long others must wait, in seconds, after a VM was first seen absent.
+
+    ``fence_seconds`` covers the longest lease and the longest request after it.
+    ``patience_seconds`` more pass before an ordinal is given up as vacant, so that a
+    replacement VM can take it.
+    """
+
+    fence_seconds: float
+    patience_seconds: float
+
+
+@dataclass(slots=True)
+class Absences:
+    """Since when VMs and claims have looked gone, by this node's own clock."""
+
+    own_vm: str
+    _last_list: frozenset[str] | None = None
+    _since_by_vm: dict[str, float] = field(default_factory=dict)
+    _idle_since: dict[tuple[int, int], float] = field(default_factory=dict)
+
+    def observe(
+        self, vms: Iterable[str], claims: Iterable[StoredClaim], now: float
+    ) -> bool:
+        """Take in a VM list and the claims, read before ``now``.
+
+        Return False, and change nothing, when the list misses this very VM: such a
+        list is wrong, and nobody may be taken for gone by it.
+        """
+        listed = frozenset(vms)
+        if self.own_vm not in listed:
+            return False
+        claims = list(claims)
+        holders = {c.record.vm for c in claims if isinstance(c.record, Claim)}
+        self._since_by_vm = {
+            vm: self._since_by_vm.get(vm, now) for vm in holders - listed
+        }
+        self._idle_since = {
+            (c.ordinal, c.version): self._idle_since.get((c.ordinal, c.version), now)
+            for c in claims
+            if c.record is None or (isinstance(c.record, Claim) and c.record.released)
+        }
+        return True
+
+    def absent_seconds(self, vm: str, now: float) -> float:
+        """Return how long the VM has been seen absent; below 0 when it is listed."""
+        since = self._since_by_vm.get(vm)
+        return -1.0 if since is None else now - since
+
+    def idle_seconds(self, stored: StoredClaim, now: float) -> float:
+        """Return how long the ordinal has been seen unclaimed or released."""
+        since = self._idle_since.get((stored.ordinal, stored.version))
+        return -1.0 if since is None else now - since
+
+
+def choose_claim(
+    configuration: Configuration,
+    stored_by_ordinal: Mapping[int, StoredClaim],
+    absences: Absences,
+    fence: Fence,
+    *,
+    vm: str,
+    incarnation: str,
+    failure_domain: str,
+    now: float,
+) -> Hold | Take | None:
+    """Return the next step of a VM that holds no ordinal."""
+    entries = _in_order(configuration.policy.roster, failure_domain, vm)
+    stored = [
+        stored_by_ordinal.get(entry.ordinal, StoredClaim(entry.ordinal))
+        for entry in entries
+    ]
+    own = [s for s in stored if isinstance(s.record, Claim) and s.record.vm == vm]
+    for one in own:
+        if one.record.incarnation == incarnation:
+            return Hold(one.record)
+    for one in own:
+        return Take(
+            ordinal=one.ordinal,
+            version=one.version,
+            epoch=one.record.epoch,
+            predecessor=one.record,
+            is_fenced=one.record.released,
+        )
+    for one in stored:
+        step = _take_free(one, configuration)
+        if step is not None:
+            return step
+    for one in stored:
+        if absences.absent_seconds(one.record.vm, now) >= fence.fence_seconds:
+            return Take(one.ordinal, one.version, one.record.epoch, one.record)
+    return None
+
+
+def choose_upkeep(
+    configuration: Configuration,
+    stored_by_ordinal: Mapping[int, StoredClaim],
+    absences: Absences,
+    fence: Fence,
+    now: float,
+) -> list[Vacate | RecordEpoch]:
+    """Return what a warden has to write now: vacancies, and epochs not yet logged."""
+    steps: list[Vacate | RecordEpoch] = []
+    roster = {entry.ordinal for entry in configuration.policy.roster}
+    for ordinal in sorted(roster | stored_by_ordinal.keys()):
+        stored = stored_by_ordinal.get(ordinal, StoredClaim(ordinal))
+        logged = configuration.epochs.get(ordinal, 0)
+        if stored.record is not None and stored.record.epoch > logged:
+            steps.append(RecordEpoch(ordinal, stored.record.epoch))
+        elif _is_given_up(stored, absences, fence, now):
+            epoch = logged if stored.record is None else stored.record.epoch
+            steps.append(Vacate(ordinal, stored.version, epoch + 1 + epoch % 2))
+    return steps
+
+
+def is_warden(configuration: Configuration, ordinal: int) -> bool:
+    """Say whether the holder of the ordinal looks after claims of gone VMs.
+
+    A few occupied ordinals of each failure domain do, so that the platform's VM list
+    and the claims are read by few nodes however large the fleet is.
+    """
+    vacant = configuration.vacant
+    domains = {e.ordinal: e.failure_domain for e in configuration.policy.roster}
+    if ordinal not in domains:
+        return False
+    near = [
+        other
+        for other, domain in domains.items()
+        if domain == domains[ordinal] and other not in vacant
+    ]
+    near.sort(key=lambda other: stable_hash(f'warden/{other}'))
+    return ordinal in near[:WARDENS_PER_FAILURE_DOMAIN]
+
+
+def _in_order(
+    roster: Iterable[RosterEntry], failure_domain: str, vm: str
+) -> list[RosterEntry]:
+    """Return the entries of the domain in an order of the VM's own.
+
+    VMs that start together then seldom race for one ordinal.
+    """
+    near = [entry for entry in roster if entry.failure_domain == failure_domain]
+    return sorted(near, key=lambda entry: stable_hash(f'{vm}/{entry.ordinal}'))
+
+
+def _take_free(stored: StoredClaim, configuration: Configuration) -> Take | None:
+    match stored.record:
+        case None:
+            epoch = configuration.epochs.get(stored.ordinal, 0)
+            return Take(stored.ordinal, stored.version, epoch + epoch % 2)
+        case Vacancy(epoch=epoch):
+            return Take(stored.ordinal, stored.version, epoch + 1)
+        case Claim(released=True, epoch=epoch) as claim:
+            return Take(stored.ordinal, stored.version, epoch, claim)
+    return None
+
+
+def _is_given_up(
+    stored: StoredClaim, absences: Absences, fence: Fence, now: float
+) -> bool:
+    match stored.record:
+        case None:
+            return absences.idle_seconds(stored, now) >= fence.patience_seconds
+        case Claim(released=True) as claim:
+            lent = max((h.seconds for h in claim.handed_over), default=0.0)
+            idle = absences.idle_seconds(stored, now)
+            return idle >= lent + fence.patience_seconds
+        case Claim(vm=vm):
+            gone = absences.absent_seconds(vm, now)
+            return gone >= fence.fence_seconds + fence.patience_seconds
+    return False
--- a/packages/daisylift/src/daisylift/decisions/permit.py
+++ b/packages/daisylift/src/daisylift/decisions/permit.py
@@ -6,6 +6,7 @@
 from daisylift.decisions.configuration import ServerKey
 
 DEFAULT_REQUEST_SECONDS = 5.0
+DOUBT_GRACE_SECONDS = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,16 +22,22 @@
 class Permit:
     """The right to run one request at a backend server, on one of its slots.
 
-    A request may start until ``valid_until``, and must have ended
-    ``longest_request_seconds`` after its start.
+    A request may start until ``valid_until``. It must have ended
+    ``longest_request_seconds`` after its start, and so has to be given a deadline of
+    at most ``timeout_seconds``.
     """
 
     server: ServerKey
     slot: int
     valid_until: float = math.inf
-    longest_request_seconds: float = DEFAULT_REQUEST_SECONDS
+    longest_request_seconds: float = DEFAULT_REQUEST_SECONDS + DOUBT_GRACE_SECONDS
     lease: LeaseKey | None = None
 
+    @property
+    def timeout_seconds(self) -> float:
+        """Return the most time that a request on this permit may be given."""
+        return self.longest_request_seconds - DOUBT_GRACE_SECONDS
+
     def may_start(self, now: float) -> bool:
         """Say whether a request may start now; ask just before the first byte."""
         return now < self.valid_until
--- a/packages/daisylift/src/daisylift/decisions/permits.py
+++ b/packages/daisylift/src/daisylift/decisions/permits.py
@@ -13,12 +13,11 @@
 from daisylift.decisions.confirmations import Confirmations, Masks, losses_between
 from daisylift.decisions.permit import (
     DEFAULT_REQUEST_SECONDS,
+    DOUBT_GRACE_SECONDS,
     BorrowedSlots,
     Permit,
 )
 
-DOUBT_GRACE_SECONDS = 1.0
-
 
 @dataclass(slots=True)
 class _Server:
@@ -67,8 +66,6 @@
         self._request_seconds: dict[str, float] = {}
         self._cold_seconds: dict[str, float] = {}
 
-    # What the fleet decides: configuration, ordinal, confirmations.
-
     def set_configuration(self, configuration: Configuration, now: float) -> None:
         """Take on a later configuration; lost slots are not used from here on."""
         before = self.configuration
@@ -112,12 +109,16 @@
         """Return the version that this node's ordinal has confirmed, if any."""
         if self.ordinal is None:
             return None
-        if any(until > now for until in self._held_until.values()):
+        if self.is_held(now):
             return None
         if self._draining:
             return min(draining.version for draining in self._draining) - 1
         return self.configuration.version
 
+    def is_held(self, now: float) -> bool:
+        """Say whether a predecessor's requests or leases may not be over yet."""
+        return any(until > now for until in self._held_until.values())
+
     def awaited(self) -> set[int]:
         """Return the ordinals whose confirmation own slots still wait for."""
         if self.ordinal is None:
@@ -128,8 +129,6 @@
         own = {key: state.own for key, state in self._by_server.items() if state.own}
         return unsettled | self.confirmations.awaited(self.ordinal, own)
 
-    # What requests use.
-
     def free_slots(self, server: ServerKey, now: float) -> int:
         """Return on how many slots of the server a request could start now."""
         self.expire(now)
@@ -176,8 +175,6 @@
         if state is not None:
             state.cold_since = now
 
-    # What lending uses.
-
     def request_seconds(self, service: str) -> float:
         """Return how long a request of the service may take, in doubt or not."""
         seconds = self._request_seconds.get(service, DEFAULT_REQUEST_SECONDS)
@@ -196,6 +193,19 @@
                 if free:
                     yield server, free
 
+    def keeps(self, server: ServerKey, mask: int) -> bool:
+        """Say whether the slots are this node's, and none was lost while in use."""
+        state = self._by_server.get(server)
+        if state is None or mask & ~state.own:
+            return False
+        return not any(d.masks.get(server, 0) & mask for d in self._draining)
+
+    def in_use(self) -> Iterator[tuple[ServerKey, int]]:
+        """Yield the own slots on which a request runs or may run, by server."""
+        for server, state in self._by_server.items():
+            if state.used:
+                yield server, state.used
+
     def usage(self, service: str, now: float) -> tuple[int, int]:
         """Return how many slots of the service are in use, and how many are held."""
         used = held = 0
@@ -212,6 +222,12 @@
         """Count own slots as lent."""
         self._by_server.setdefault(server, _Server()).lent |= mask
 
+    def inherit(self, server: ServerKey, mask: int, confirmed: int) -> None:
+        """Count as lent what a predecessor, who had confirmed that version, left."""
+        self.lend(server, mask)
+        if self.configuration.version > confirmed:
+            self._drain(confirmed + 1, {server: mask})
+
     def end_loan(self, server: ServerKey, mask: int) -> None:
         """Count lent slots as free again."""
         state = self._by_server[server]
@@ -234,8 +250,6 @@
             if service is None or server.service == service:
                 yield from held
 
-    # Steps of the above.
-
     def _advance(self, version: int, layout: Layout) -> None:
         losses = losses_between(self._layout, layout)
         self.confirmations.advance(version, losses)
--- a/packages/daisylift/src/daisylift/models/__init__.py
+++ b/packages/daisylift/src/daisylift/models/__init__.py
@@ -23,7 +23,7 @@
     RosterEntry,
     Service,
 )
-from daisylift.models.roster import Claim
+from daisylift.models.roster import Claim, HandedOver, Vacancy
 
 __all__ = [
     'AdvanceShift',
@@ -34,6 +34,7 @@
     'ControlShift',
     'EvacuateRegion',
     'FailureDomain',
+    'HandedOver',
     'Link',
     'Policy',
     'PutPolicy',
@@ -46,4 +47,5 @@
     'SetSiteDrain',
     'StartShift',
     'fingerprint',
+    'Vacancy',
 ]
