Stop as planned: leave, serve on, finish, release, stop

Cause: SIGTERM closed the callers' port at once, so callers with kept look-up answers met a closed port, and the ordinal stayed with the stopped process. Ruled out: a fixed delay, as answers are kept as long as the policy says; closing idle connections without a word, as a request may just be under way on one. Before: requests cut at every stop. After: tests/test_rolling_restart.py restarts three real nodes under load with every request answered, and ends with as many executions as answers; a frozen node is suspect and comes back, a killed one is dropped, a stop works without the platform. Found on the way: nodes that started before the policy met each other only at the next reading of the claims (30 s); each now reads them again right after its own claim. Conclusion: the wait is the longest kept answer plus the spread of the news.

--- a/packages/daisylift-node/src/daisylift_node/connection/caller.py
+++ b/packages/daisylift-node/src/daisylift_node/connection/caller.py
@@ -1,5 +1,6 @@
 """The callers' port: dispatches requests, and answers even the unreadable ones."""
 
+import asyncio
 from collections.abc import Awaitable, Callable, Sequence
 
 from aiohttp import web
@@ -46,6 +47,17 @@
         return response
 
 
+class CallerRequest(web.BaseRequest):
+    """A request of a caller; ``must_close`` ends its connection after the answer."""
+
+    must_close = False
+
+    @property
+    def keep_alive(self) -> bool:
+        """Say whether the connection stays open after the answer."""
+        return super().keep_alive and not self.must_close
+
+
 class CallerServer(web.Server):
     """Makes a CallerConnection for each caller that connects."""
 
@@ -55,11 +67,22 @@
 
 
 def caller_server(
-    lookup: Handler, request_ids: Handler, relay: Handler
+    lookup: Handler,
+    request_ids: Handler,
+    relay: Handler,
+    is_leaving: Callable[[], bool] = lambda: False,
 ) -> CallerServer:
-    """Return the server of the callers' port."""
+    """Return the server of the callers' port.
+
+    While the node is leaving, each answer ends its connection.
+    """
+    loop = asyncio.get_running_loop()
+
+    def make_request(message, payload, protocol, writer, task) -> CallerRequest:
+        return CallerRequest(message, payload, protocol, writer, task, loop)
 
-    async def dispatch(request: web.BaseRequest) -> web.StreamResponse:
+    async def dispatch(request: CallerRequest) -> web.StreamResponse:
+        request.must_close = is_leaving()
         path = request.raw_path
         if path.startswith(SERVICES_PREFIX):
             return await relay(request)
@@ -76,6 +99,7 @@
 
     return CallerServer(
         dispatch,
+        request_factory=make_request,
         handler_cancellation=True,
         access_log=None,
         max_field_size=MAX_FIELD_BYTES,
--- a/packages/daisylift-node/src/daisylift_node/core.py
+++ b/packages/daisylift-node/src/daisylift_node/core.py
@@ -6,6 +6,7 @@
 import aiomisc
 from absl import flags
 
+from daisylift.models.policy import MAX_ANSWER_TTL_SECONDS
 from daisylift_node.cli import DESCRIPTION, define_flags, settings_path
 from daisylift_node.config import Settings, load_settings
 from daisylift_node.context import Environment
@@ -53,7 +54,7 @@
     configure_logs(settings.log, environment.stderr, vm=settings.vm.id)
     service = ApplicationService(application=Application(settings))
     stop_seconds = (
-        settings.stop.announce_seconds
+        max(settings.stop.announce_seconds, MAX_ANSWER_TTL_SECONDS)
         + settings.stop.finish_seconds
         + STOP_MARGIN_SECONDS
     )
--- a/packages/daisylift-node/src/daisylift_node/process/application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/application.py
@@ -10,6 +10,7 @@
 
 from daisylift.decisions.configuration import Configuration
 from daisylift.decisions.membership import MemberState
+from daisylift.decisions.stopping import StopPhase
 from daisylift_node.config import ListenSettings, Settings
 from daisylift_node.connection.caller import caller_server
 from daisylift_node.connection.peers import Address, PeerLink, new_incarnation
@@ -22,16 +23,17 @@
 from daisylift_node.process.idle import IdlePeers
 from daisylift_node.process.links import LinkPacer
 from daisylift_node.process.load import POLL_PERIOD_SECONDS, LoadPoller
-from daisylift_node.process.members import Member, Members
+from daisylift_node.process.members import Member, Members, usable_members
 from daisylift_node.process.membership import Membership
 from daisylift_node.process.metrics import Metrics
 from daisylift_node.process.notices import REPEAT_PERIOD_SECONDS, Notices
 from daisylift_node.process.operator import OperatorService
 from daisylift_node.process.permits import PermitPool
 from daisylift_node.process.platform import PlatformClient
+from daisylift_node.process.stopping import PlannedStop, StopGate
 from daisylift_node.process.timer import TimerService
 from daisylift_node.request.admission import Admission
-from daisylift_node.request.elsewhere import Elsewhere
+from daisylift_node.request.elsewhere import MAX_NAMED_VMS, Elsewhere
 from daisylift_node.request.exchange import Exchange
 from daisylift_node.request.forward import Forwarder
 from daisylift_node.request.guard import KeyGuard
@@ -147,6 +149,10 @@
             metrics=self.metrics,
             clock=clock.now,
         )
+        self.gate = StopGate(self.relay.handle, self.metrics, self._other_vms)
+        self.planned_stop = PlannedStop(
+            settings.stop, self.gate, clock.now, lambda: bool(self._other_vms())
+        )
         self._runners: list[web.BaseRunner] = []
         self._operator_server: Server | None = None
         self._components: tuple[Component, ...] = (
@@ -177,7 +183,12 @@
         self.timer.subscribe(EXPIRY_PERIOD_SECONDS, self.guard.expire)
         lookup = LookupHandler(self.steering, self.issuer, self.metrics)
         caller = web.ServerRunner(
-            caller_server(lookup.handle, self.issuer.handle, self.relay.handle)
+            caller_server(
+                lookup.handle,
+                self.issuer.handle,
+                self.gate.handle,
+                lambda: self.gate.is_leaving,
+            )
         )
         await self._listen(caller, self.settings.caller)
         operations = web.AppRunner(self._operations_application(), access_log=None)
@@ -186,7 +197,10 @@
         logger.info('{} is up', self.settings.vm.id)
 
     async def stop(self) -> None:
-        """Stop listening, then stop all components in reverse order."""
+        """Leave, stop listening, then stop all components in reverse order."""
+        self.membership.say_leaving()
+        if await self.planned_stop.run(self.follower.current.policy):
+            await self.members.release()
         if self._operator_server is not None:
             self._operator_server.close()
             await self._operator_server.wait_closed()
@@ -198,8 +212,15 @@
 
     def is_ready(self) -> bool:
         """Say whether callers may be sent here."""
+        if self.planned_stop.phase is not StopPhase.SERVING or self.gate.is_leaving:
+            return False
         return self.follower.current.version > 0 and self.members.own is not None
 
+    def _other_vms(self) -> tuple[str, ...]:
+        own = self.settings.vm.id
+        usable = usable_members(self.members.by_ordinal, but=own)
+        return tuple(member.caller_address for member in usable[:MAX_NAMED_VMS])
+
     def _others(self) -> list[Member]:
         own = self.members.own.ordinal if self.members.own is not None else None
         members = self.members.by_ordinal.items()
--- a/packages/daisylift-node/src/daisylift_node/process/members.py
+++ b/packages/daisylift-node/src/daisylift_node/process/members.py
@@ -21,7 +21,7 @@
 from daisylift_node.process.platform import Conflict, PlatformClient, StoredObject
 
 KIND = 'claims'
-READ_PERIOD_SECONDS = 30.0
+READ_PERIOD_SECONDS = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,8 +45,10 @@
 class Members:
     """Claims an ordinal for this VM and knows who holds the others.
 
-    Members come from the peers' word; the claims in the platform are read at the
-    start, and later by the few nodes that watch the platform, at a long period.
+    Members come from the peers' word. The claims in the platform are read until some
+    other member is known, and once after this node's own claim, so that of any two
+    nodes the later one finds the earlier; then only the few nodes that watch the
+    platform read them, at a long period.
     """
 
     def __init__(
@@ -88,12 +90,24 @@
             await self._read(now)
 
     def _must_read(self, now: float) -> bool:
-        if self._read_at is None:
+        if self._read_at is None or not self.membership.table.others(*MemberState):
             return True
         if now - self._read_at < READ_PERIOD_SECONDS:
             return False
         return is_watcher(self.membership.table)
 
+    async def release(self) -> None:
+        """Give the ordinal back, so that another VM can take it at once."""
+        if self.own is None:
+            return
+        name = str(self.own.ordinal)
+        match await self.platform.get(KIND, name):
+            case Success(stored) if _parse(stored) == self.own:
+                value = self.own.model_copy(update={'released': True})
+                await self.platform.update(
+                    KIND, name, value.model_dump(mode='json'), stored.version
+                )
+
     async def _read(self, now: float) -> None:
         listing = await self.platform.list(KIND)
         if isinstance(listing, Failure):
@@ -119,7 +133,9 @@
         match result:
             case Failure(Conflict(current=StoredObject() as current)):
                 holder = _parse(current)
-                if holder is None or holder.vm != claim.vm:
+                if holder is None:
+                    return False
+                if holder.vm != claim.vm and not holder.released:
                     return False
                 result = await self.platform.update(
                     KIND, str(ordinal), value, current.version
@@ -146,10 +162,11 @@
         )
 
 
-def usable_members(by_ordinal: dict[int, Member]) -> list[Member]:
-    """Return whom callers may be sent to: the alive, else the suspect."""
+def usable_members(by_ordinal: dict[int, Member], but: str = '') -> list[Member]:
+    """Return whom callers may be sent to, but for a VM: the alive, else the suspect."""
+    members = [member for member in by_ordinal.values() if member.claim.vm != but]
     for state in (MemberState.ALIVE, MemberState.SUSPECT):
-        usable = [member for member in by_ordinal.values() if member.state is state]
+        usable = [member for member in members if member.state is state]
         if usable:
             return usable
     return []
--- /dev/null
+++ b/packages/daisylift-node/src/daisylift_node/process/stopping.py
@@ -0,0 +1,111 @@
+"""The planned stop of this node, and the gate that requests pass meanwhile."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+from loguru import logger
+
+from daisylift.decisions.stopping import StopPhase, StopPlan, announce_seconds
+from daisylift.models import Policy
+from daisylift_node.config import StopSettings
+from daisylift_node.process.metrics import Metrics
+from daisylift_node.request.problem import (
+    Reason,
+    did_not_run,
+    refusal_response,
+)
+
+POLL_SECONDS = 0.05
+NO_SERVICE = ''
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+class StopGate:
+    """Counts the requests in flight, and refuses new ones once it is closed.
+
+    While the node is leaving, each answer asks the caller to close its connection.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        metrics: Metrics,
+        other_vms: Callable[[], tuple[str, ...]],
+    ) -> None:
+        self.in_flight = 0
+        self.is_leaving = False
+        self.is_closed = False
+        self._handler = handler
+        self._metrics = metrics
+        self._other_vms = other_vms
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Let the request through, or refuse it as not run."""
+        if self.is_closed:
+            return self._refuse()
+        self.in_flight += 1
+        try:
+            return await self._handler(request)
+        finally:
+            self.in_flight -= 1
+
+    def _refuse(self) -> web.Response:
+        reason = Reason.STOPPING
+        self._metrics.refusals.labels(service=NO_SERVICE, reason=reason.value).inc()
+        refusal = did_not_run(
+            reason, 'this VM stops; use another one', other_vms=self._other_vms()
+        )
+        response = refusal_response(refusal)
+        response.force_close()
+        return response
+
+
+class PlannedStop:
+    """Takes the node from serving to having nothing in flight."""
+
+    def __init__(
+        self,
+        settings: StopSettings,
+        gate: StopGate,
+        clock: Callable[[], float],
+        has_others: Callable[[], bool],
+    ) -> None:
+        self.phase = StopPhase.SERVING
+        self._settings = settings
+        self._gate = gate
+        self._clock = clock
+        self._has_others = has_others
+
+    async def run(self, policy: Policy) -> bool:
+        """Announce, then finish; return whether all that was in flight has ended."""
+        plan = StopPlan(
+            began_at=self._clock(),
+            announce_seconds=announce_seconds(self._settings.announce_seconds, policy),
+            finish_seconds=self._settings.finish_seconds,
+        )
+        self._gate.is_leaving = True
+        while self.phase is not StopPhase.DONE:
+            self._enter(
+                plan.phase(
+                    self._clock(), self._gate.in_flight, has_others=self._has_others()
+                )
+            )
+            await asyncio.sleep(POLL_SECONDS)
+        left = self._gate.in_flight
+        if left:
+            logger.warning('{} requests had not ended in time and are cut', left)
+        return left == 0
+
+    def _enter(self, phase: StopPhase) -> None:
+        if phase is self.phase or self._is_over(phase):
+            return
+        self.phase = phase
+        self._gate.is_closed = phase is not StopPhase.ANNOUNCING
+        logger.info('planned stop: {}', phase.value)
+
+    def _is_over(self, phase: StopPhase) -> bool:
+        """Say whether the phase has passed; another VM that appears changes nothing."""
+        phases = list(StopPhase)
+        return phases.index(phase) < phases.index(self.phase)
--- a/packages/daisylift-node/src/daisylift_node/request/problem.py
+++ b/packages/daisylift-node/src/daisylift_node/request/problem.py
@@ -26,6 +26,7 @@
     EXPECTATION_FAILED = 'expectation-failed'
     UPGRADE_REFUSED = 'upgrade-refused'
     NOT_READY = 'not-ready'
+    STOPPING = 'stopping'
     NO_FREE_SLOT = 'no-free-slot'
     QUEUE_FULL = 'queue-full'
     LINK_SPENT = 'link-spent'
@@ -59,6 +60,7 @@
     Reason.EXPECTATION_FAILED: 417,
     Reason.UPGRADE_REFUSED: 501,
     Reason.NOT_READY: 503,
+    Reason.STOPPING: 503,
     Reason.NO_FREE_SLOT: 503,
     Reason.QUEUE_FULL: 503,
     Reason.LINK_SPENT: 503,
@@ -84,6 +86,7 @@
 PASSING_REASONS = frozenset(
     {
         Reason.NOT_READY,
+        Reason.STOPPING,
         Reason.NO_FREE_SLOT,
         Reason.QUEUE_FULL,
         Reason.LINK_SPENT,
@@ -110,13 +113,16 @@
     earlier_sends: Outcome | None = None
 
 
-def did_not_run(reason: Reason, detail: str) -> Refusal:
+def did_not_run(
+    reason: Reason, detail: str, other_vms: tuple[str, ...] = ()
+) -> Refusal:
     """Return the refusal of a request that certainly did not run."""
     return Refusal(
         reason=reason,
         outcome=Outcome.DID_NOT_RUN,
         detail=detail,
         retry_after_seconds=RETRY_AFTER_SECONDS if reason in PASSING_REASONS else None,
+        other_vms=other_vms,
     )
 
 
--- /dev/null
+++ b/tests/fakes/callers.py
@@ -0,0 +1,82 @@
+"""Callers as the brief has them: look up, keep the answer, send requests there."""
+
+import asyncio
+import random
+import time
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+import aiohttp
+
+REQUEST_SECONDS = 20.0
+PAUSE_SECONDS = 0.02
+LOOKUP_PAUSE_SECONDS = 0.05
+
+
+@dataclass(slots=True)
+class Callers:
+    """Several callers of one service, and what became of their requests.
+
+    ``ended_by_sort`` counts ``answered``, ``cut`` (no whole answer and no refusal)
+    and refusals by their reason; ``seconds`` has the times of the answered ones.
+    """
+
+    entry_urls: Sequence[str]
+    service: str
+    path: str
+    choice: random.Random
+    ended_by_sort: Counter[str] = field(default_factory=Counter)
+    seconds: list[float] = field(default_factory=list)
+    _stopped: bool = False
+    _tasks: list[asyncio.Task[None]] = field(default_factory=list)
+
+    def start(self, count: int) -> None:
+        """Let the callers begin."""
+        self._tasks = [asyncio.create_task(self._call_on()) for _ in range(count)]
+
+    async def stop(self) -> None:
+        """Let each caller finish its request and end."""
+        self._stopped = True
+        await asyncio.gather(*self._tasks)
+
+    async def _call_on(self) -> None:
+        timeout = aiohttp.ClientTimeout(total=REQUEST_SECONDS)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            address, until = '', 0.0
+            while not self._stopped:
+                if time.monotonic() >= until:
+                    address, until = await self._look_up(session)
+                if address:
+                    await self._request(session, address)
+                await asyncio.sleep(PAUSE_SECONDS)
+
+    async def _look_up(self, session: aiohttp.ClientSession) -> tuple[str, float]:
+        url = f'{self.choice.choice(self.entry_urls)}/v1/lookup'
+        params = {'service': self.service, 'client': '127.0.0.1'}
+        asked_at = time.monotonic()
+        try:
+            async with session.get(url, params=params) as answer:
+                document = await answer.json(content_type=None)
+        except aiohttp.ClientError:
+            document = {}
+        if not document.get('entry_vms'):
+            await asyncio.sleep(LOOKUP_PAUSE_SECONDS)
+            return '', 0.0
+        vm = self.choice.choice(document['entry_vms'])
+        return vm['address'], asked_at + document['ttl_seconds']
+
+    async def _request(self, session: aiohttp.ClientSession, address: str) -> None:
+        url = f'http://{address}/v1/services/{self.service}/{self.path}'
+        began = time.monotonic()
+        try:
+            async with session.post(url, data=b'order') as answer:
+                content = await answer.json(content_type=None)
+        except (aiohttp.ClientError, TimeoutError) as error:
+            self.ended_by_sort[f'cut: {type(error).__name__}'] += 1
+            return
+        if answer.status == 200:
+            self.ended_by_sort['answered'] += 1
+            self.seconds.append(time.monotonic() - began)
+        else:
+            self.ended_by_sort[content['title']] += 1
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -14,11 +14,10 @@
 from daisylift_node.connection.peers import PeerLink, TimedOut, new_incarnation
 from daisylift_node.errors import StartError
 from daisylift_node.process.metrics import Metrics
+from tests.utils import until
 
 KEY = 'a-key-for-the-tests'
 WAIT_SECONDS = 10.0
-WAIT_POLLS = 2000
-POLL_SECONDS = 0.005
 NO_WAIT_SECONDS = 0.05
 
 
@@ -45,14 +44,6 @@
     return link._drops.labels(reason=reason)._value.get()
 
 
-async def until(condition) -> None:
-    for _ in range(WAIT_POLLS):
-        if condition():
-            return
-        await asyncio.sleep(POLL_SECONDS)
-    raise AssertionError('the condition did not come true')
-
-
 async def test_request_gets_its_reply_and_knows_the_sender():
     async with running_link('vm-0') as (asker, _), running_link('vm-1') as (one, to):
         asker.ordinal = 4
--- /dev/null
+++ b/tests/test_rolling_restart.py
@@ -0,0 +1,165 @@
+"""Planned stops and losses of real processes; each test ends by what was counted."""
+
+import asyncio
+import json
+import random
+import signal
+import urllib.request
+
+import aiohttp
+import pytest
+
+from tests.fakes.callers import Callers
+from tests.fakes.fleet import Fleet, NodeProcess
+from tests.utils import policy_document
+
+CALLERS = 3
+POLL_SECONDS = 0.05
+WAIT_POLLS = 600
+
+
+@pytest.fixture(scope='module')
+def fleet(tmp_path_factory):
+    """Start one fleet for all tests here; each leaves it whole."""
+    policy = policy_document()
+    service = policy['services'][0]
+    service['answer_ttl_seconds'] = 0.3
+    service['queue_timeout_seconds'] = 2.0
+    domains = [entry['failure_domain'] for entry in policy['roster']]
+    started = Fleet(tmp_path_factory.mktemp('fleet'), policy)
+    try:
+        started.start(domains)
+        started.put_policy()
+        yield started
+    finally:
+        for node in started.nodes:
+            if node.process.poll() is None:
+                node.process.send_signal(signal.SIGCONT)
+        started.stop()
+
+
+async def settle(condition) -> None:
+    """Wait for a condition that is itself awaited."""
+    for _ in range(WAIT_POLLS):
+        if await condition():
+            return
+        await asyncio.sleep(POLL_SECONDS)
+    raise AssertionError('the condition did not come true')
+
+
+async def ready(node: NodeProcess) -> bool:
+    return await status(f'{node.operations_url}/readyz') == 200
+
+
+async def status(url: str) -> int:
+    try:
+        async with aiohttp.ClientSession() as session, session.get(url) as answer:
+            return answer.status
+    except aiohttp.ClientError:
+        return 0
+
+
+async def named_by(node: NodeProcess) -> set[str]:
+    """Return the addresses that a node's look-up names."""
+    url = f'{node.caller_url}/v1/lookup?service=till&client=127.0.0.1'
+    try:
+        async with aiohttp.ClientSession() as session, session.get(url) as answer:
+            document = await answer.json(content_type=None)
+    except aiohttp.ClientError:
+        return set()
+    return {vm['address'] for vm in document.get('entry_vms', ())}
+
+
+async def all_name(nodes: list[NodeProcess], named: list[NodeProcess]) -> bool:
+    expected = {f'127.0.0.1:{node.caller_port}' for node in named}
+    return all([await named_by(node) == expected for node in nodes])
+
+
+def member_states(fleet: Fleet) -> dict[str, str]:
+    """Return the state of each member as the first node's status tells it."""
+    reply = json.loads(fleet.admin('status'))
+    return {member['vm']: member['state'] for member in reply['members']}
+
+
+def executions(fleet: Fleet) -> int:
+    total = 0
+    for port in fleet.server_ports().values():
+        with urllib.request.urlopen(f'http://127.0.0.1:{port}/control') as answer:
+            total += sum(json.load(answer)['executions'].values())
+    return total
+
+
+async def test_rolling_restart_cuts_and_refuses_nothing(fleet):
+    await settle(lambda: all_name(fleet.nodes, fleet.nodes))
+    urls = [node.caller_url for node in fleet.nodes]
+    callers = Callers(urls, 'till', 'order', random.Random(1))
+    callers.start(CALLERS)
+    for node in fleet.nodes:
+        others = [other for other in fleet.nodes if other is not node]
+        node.process.send_signal(signal.SIGTERM)
+        await settle(lambda others=others: all_name(others, others))
+        assert node.process.poll() is None, 'it stopped before its answers ran out'
+        assert not await ready(node)
+        assert await status(f'{node.operations_url}/livez') == 200
+        await asyncio.to_thread(node.process.wait)
+        assert node.process.returncode == 0
+        fleet.start_node(node)
+        await settle(lambda node=node: ready(node))
+        await settle(lambda: all_name(fleet.nodes, fleet.nodes))
+    await callers.stop()
+    assert set(callers.ended_by_sort) == {'answered'}
+    assert executions(fleet) == callers.ended_by_sort['answered']
+
+
+async def test_killed_and_frozen_nodes_are_dropped_and_come_back(fleet):
+    await settle(lambda: all_name(fleet.nodes, fleet.nodes))
+    first, frozen, killed = fleet.nodes
+    frozen.process.send_signal(signal.SIGSTOP)
+    await settle(lambda: all_name([first, killed], [first, killed]))
+    assert member_states(fleet)[frozen.vm] == 'suspect'
+    frozen.process.send_signal(signal.SIGCONT)
+    await settle(lambda: all_name(fleet.nodes, fleet.nodes))
+    assert set(member_states(fleet).values()) == {'alive'}
+    killed.process.kill()
+    await asyncio.to_thread(killed.process.wait)
+    await settle(lambda: all_name([first, frozen], [first, frozen]))
+    fleet.start_node(killed)
+    await settle(lambda: ready(killed))
+    await settle(lambda: all_name(fleet.nodes, fleet.nodes))
+
+
+async def test_all_restarted_at_once_serve_again(fleet):
+    await settle(lambda: all_name(fleet.nodes, fleet.nodes))
+    for node in fleet.nodes:
+        node.process.kill()
+    for node in fleet.nodes:
+        node.process.wait()
+        fleet.start_node(node)
+    for node in fleet.nodes:
+        await settle(lambda node=node: ready(node))
+    await settle(lambda: all_name(fleet.nodes, fleet.nodes))
+
+
+async def test_nodes_go_on_without_the_platform(fleet):
+    await settle(lambda: all_name(fleet.nodes, fleet.nodes))
+    await control(fleet, {'faults': {'down': True}})
+    first, second, third = fleet.nodes
+    third.process.send_signal(signal.SIGTERM)
+    await settle(lambda: all_name([first, second], [first, second]))
+    await asyncio.to_thread(third.process.wait)
+    assert third.process.returncode == 0
+    url = f'{first.caller_url}/v1/services/till/order'
+    async with aiohttp.ClientSession() as session, session.post(url) as answer:
+        assert answer.status == 200
+    await control(fleet, {'faults': {'down': False}})
+    fleet.start_node(third)
+    await settle(lambda: all_name(fleet.nodes, fleet.nodes))
+
+
+async def control(fleet: Fleet, document: dict) -> None:
+    url = f'http://127.0.0.1:{fleet.platform_port}/control'
+    async with (
+        aiohttp.ClientSession() as session,
+        session.post(url, json=document) as answer,
+    ):
+        assert answer.status == 200
--- /dev/null
+++ b/tests/test_stopping.py
@@ -0,0 +1,149 @@
+"""Tests of the planned stop: its phases, its gate, and what callers see."""
+
+import asyncio
+
+import aiohttp
+import pytest
+from aiohttp import web
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from daisylift.decisions.stopping import (
+    SPREAD_SECONDS,
+    StopPhase,
+    StopPlan,
+    announce_seconds,
+)
+from daisylift.models import Policy
+from daisylift_node.config import StopSettings
+from daisylift_node.connection.caller import caller_server
+from daisylift_node.process.metrics import Metrics
+from daisylift_node.process.stopping import PlannedStop, StopGate
+from tests.utils import policy_document, until
+
+PLAN = StopPlan(began_at=100.0, announce_seconds=3.0, finish_seconds=10.0)
+
+
+@pytest.mark.parametrize(
+    ('now', 'in_flight', 'has_others', 'phase'),
+    [
+        (100.0, 0, True, StopPhase.ANNOUNCING),
+        (102.9, 5, True, StopPhase.ANNOUNCING),
+        (103.0, 1, True, StopPhase.FINISHING),
+        (103.0, 0, True, StopPhase.DONE),
+        (112.9, 1, True, StopPhase.FINISHING),
+        (113.0, 1, True, StopPhase.DONE),
+        (100.0, 0, False, StopPhase.DONE),
+        (100.0, 1, False, StopPhase.FINISHING),
+    ],
+)
+def test_phases(now, in_flight, has_others, phase):
+    assert PLAN.phase(now, in_flight, has_others=has_others) is phase
+
+
+@given(waits=st.lists(st.floats(0.0, 20.0), min_size=2), in_flight=st.integers(0, 3))
+@settings(derandomize=True, deadline=None, max_examples=100)
+def test_phases_only_go_forward_and_end(waits, in_flight):
+    order = list(StopPhase)
+    seen = [
+        order.index(PLAN.phase(100.0 + wait, in_flight, has_others=True))
+        for wait in sorted(waits)
+    ]
+    assert seen == sorted(seen)
+    assert PLAN.phase(113.0, in_flight, has_others=True) is StopPhase.DONE
+
+
+def test_announcing_outlasts_every_kept_answer():
+    document = policy_document()
+    document['services'][0]['answer_ttl_seconds'] = 7.0
+    policy = Policy.model_validate(document)
+    assert announce_seconds(3.0, policy) == SPREAD_SECONDS + 7.0
+    assert announce_seconds(60.0, policy) == 60.0
+
+
+class Stand:
+    """A callers' port with a gate, before work that ends when it is let go."""
+
+    def __init__(self, announce: float, finish: float) -> None:
+        self.go_on = asyncio.Event()
+        self.others = ('127.0.0.1:7000',)
+        self.gate = StopGate(self._work, Metrics(), lambda: self.others)
+        self.stop = PlannedStop(
+            StopSettings(announce_seconds=announce, finish_seconds=finish),
+            self.gate,
+            asyncio.get_running_loop().time,
+            lambda: bool(self.others),
+        )
+
+    async def _work(self, request: web.BaseRequest) -> web.Response:
+        if request.path.endswith('slow'):
+            await self.go_on.wait()
+        return web.Response(text='whole')
+
+    async def serve(self) -> tuple[web.ServerRunner, str]:
+        async def lookup(_: web.BaseRequest) -> web.Response:
+            return web.Response(text='look-up')
+
+        runner = web.ServerRunner(
+            caller_server(
+                lookup, lookup, self.gate.handle, lambda: self.gate.is_leaving
+            )
+        )
+        await runner.setup()
+        site = web.TCPSite(runner, '127.0.0.1', 0)
+        await site.start()
+        port = site._server.sockets[0].getsockname()[1]
+        return runner, f'http://127.0.0.1:{port}/v1/services/till'
+
+
+EMPTY = Policy(failure_domains=(), roster=(), services=())
+
+
+async def test_in_flight_is_finished_and_new_work_is_refused():
+    stand = Stand(announce=0.0, finish=60.0)
+    runner, url = await stand.serve()
+    async with aiohttp.ClientSession() as session:
+        slow = asyncio.create_task(session.get(f'{url}/slow'))
+        await until(lambda: stand.gate.in_flight)
+        stand.others = ()
+        stopping = asyncio.create_task(stand.stop.run(EMPTY))
+        await until(lambda: stand.gate.is_closed)
+        stand.others = ('127.0.0.1:7000',)
+        async with session.get(f'{url}/quick') as refused:
+            assert refused.status == 503
+            assert refused.headers['Daisylift-Outcome'] == 'did-not-run'
+            assert refused.headers['Connection'] == 'close'
+            assert (await refused.json(content_type=None))['other_vms'] == [
+                '127.0.0.1:7000'
+            ]
+        assert not stopping.done()
+        stand.go_on.set()
+        assert await (await slow).text() == 'whole'
+        assert await stopping
+    await runner.cleanup()
+
+
+async def test_while_announcing_work_is_done_and_connections_end():
+    stand = Stand(announce=60.0, finish=0.0)
+    runner, url = await stand.serve()
+    stopping = asyncio.create_task(stand.stop.run(EMPTY))
+    async with aiohttp.ClientSession() as session:
+        await until(lambda: stand.stop.phase is StopPhase.ANNOUNCING)
+        async with session.get(f'{url}/quick') as answer:
+            assert await answer.text() == 'whole'
+            assert answer.headers['Connection'] == 'close'
+    stopping.cancel()
+    await runner.cleanup()
+
+
+async def test_work_that_outlasts_the_bound_is_told():
+    stand = Stand(announce=0.0, finish=0.0)
+    runner, url = await stand.serve()
+    async with aiohttp.ClientSession() as session:
+        slow = asyncio.create_task(session.get(f'{url}/slow'))
+        await until(lambda: stand.gate.in_flight)
+        stand.others = ()
+        assert not await stand.stop.run(EMPTY)
+        stand.go_on.set()
+        await slow
+    await runner.cleanup()
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -1,7 +1,12 @@
 """Small makers of test data."""
 
+import asyncio
+from collections.abc import Callable
 from typing import Any
 
+WAIT_POLLS = 4000
+POLL_SECONDS = 0.005
+
 
 def policy_document() -> dict[str, Any]:
     """Return a small valid policy: two regions, one service, three seats."""
@@ -29,3 +34,12 @@
         ],
         'services': [{'name': 'till', 'servers': servers}],
     }
+
+
+async def until(condition: Callable[[], object]) -> None:
+    """Wait until the condition holds; fail when it does not for long."""
+    for _ in range(WAIT_POLLS):
+        if condition():
+            return
+        await asyncio.sleep(POLL_SECONDS)
+    raise AssertionError('the condition did not come true')
