--- a/packages/daisylift-node/src/daisylift_node/process/members.py
+++ b/packages/daisylift-node/src/daisylift_node/process/members.py
@@ -17,7 +17,7 @@
 from daisylift_node.process.ordinals import KIND, parse_claim
 from daisylift_node.process.platform import PlatformClient
 
-READ_PERIOD_SECONDS = 30.0
+READ_PERIOD_SECONDS = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,8 +41,10 @@
 class Members:
     """Knows who holds which ordinal; ``own`` is this VM's claim.
 
-    Members come from the peers' word; the claims in the platform are read at the
-    start, and later by the few nodes that watch the platform, at a long period.
+    Members come from the peers' word. The claims in the platform are read until some
+    other member is known, and once after this node's own claim, so that of any two
+    nodes the later one finds the earlier; then only the few nodes that watch the
+    platform read them, at a long period.
     """
 
     def __init__(self, platform: PlatformClient, membership: Membership) -> None:
@@ -77,7 +79,7 @@
             self.membership.say_ordinal(claim.ordinal)
 
     def _must_read(self, now: float) -> bool:
-        if self._read_at is None:
+        if self._read_at is None or not self.membership.table.others(*MemberState):
             return True
         if now - self._read_at < READ_PERIOD_SECONDS:
             return False
@@ -94,10 +96,11 @@
                 self.membership.learn(_record(claim))
 
 
-def usable_members(by_ordinal: dict[int, Member]) -> list[Member]:
-    """Return whom callers may be sent to: the alive, else the suspect."""
+def usable_members(by_ordinal: dict[int, Member], but: str = '') -> list[Member]:
+    """Return whom callers may be sent to, but for a VM: the alive, else the suspect."""
+    members = [member for member in by_ordinal.values() if member.claim.vm != but]
     for state in (MemberState.ALIVE, MemberState.SUSPECT):
-        usable = [member for member in by_ordinal.values() if member.state is state]
+        usable = [member for member in members if member.state is state]
         if usable:
             return usable
     return []
