--- a/packages/daisylift-node/src/daisylift_node/process/application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/application.py
@@ -11,6 +11,7 @@
 from daisylift.decisions.configuration import Configuration
 from daisylift.decisions.membership import MemberState
 from daisylift.decisions.stopping import StopPhase
+from daisylift.decisions.vm_list import is_watcher
 from daisylift_node.config import ListenSettings, Settings
 from daisylift_node.connection.caller import caller_server
 from daisylift_node.connection.peers import Address, PeerLink, new_incarnation
@@ -44,8 +45,17 @@
 from daisylift_node.request.lookup import LookupHandler
 from daisylift_node.request.relay import RelayHandler
 from daisylift_node.request.request_ids import RequestIdIssuer
+from daisylift_node.version.block_loader import BlockLoader
+from daisylift_node.version.block_store import BlockStore
 from daisylift_node.version.change_writer import ChangeWriter
 from daisylift_node.version.configuration import ConfigurationFollower
+from daisylift_node.version.confirmation import (
+    REPORT_PERIOD_SECONDS,
+    FleetConfirmation,
+)
+from daisylift_node.version.peer_sync import PeerSync
+from daisylift_node.version.shift_driver import DRIVE_PERIOD_SECONDS, ShiftDriver
+from daisylift_node.version.site_loads import SiteLoads
 from daisylift_node.version.steering import REFRESH_SECONDS, Steering
 
 MEMBERS_PERIOD_SECONDS = 1.0
@@ -99,6 +109,7 @@
             writer=self.writer,
             permits=self.permits,
         )
+        self.blocks = BlockStore(self.platform, self.steering.set_blocks)
         self.links = LinkPacer(settings.vm.failure_domain, clock.now, self.metrics)
         self.notices = Notices(self.peers, self._peer_addresses, self.metrics)
         self.health = HealthBook(self.notices.announce_drain, clock.now)
@@ -111,6 +122,25 @@
             metrics=self.metrics,
             clock=clock.now,
         )
+        self.follower.is_watcher = lambda: is_watcher(self.membership.table)
+        self.sync = PeerSync(
+            settings.peer,
+            self.peers,
+            self.follower,
+            self._addresses_by_ordinal,
+            self.metrics,
+        )
+        self.confirmation = FleetConfirmation(
+            self.members, self.peers, lambda: self.steering.steered_version
+        )
+        self.shifts = ShiftDriver(
+            follower=self.follower,
+            writer=self.writer,
+            members=self.members,
+            confirmation=self.confirmation,
+            loads=SiteLoads(self.load, self.follower),
+            metrics=self.metrics,
+        )
         self.notices.listen(self.breaks, self.health)
         self.admission = Admission(
             failure_domain=settings.vm.failure_domain,
@@ -179,6 +209,9 @@
             self.platform,
             self.peers,
             self.membership,
+            self.confirmation,
+            self.sync,
+            self.blocks,
             self.connections,
             self.peer_connections,
             self.follower,
@@ -201,6 +234,8 @@
         self.timer.subscribe(LENDING_PERIOD_SECONDS, self.lending.take_turn)
         self.timer.subscribe(CONFIRMING_PERIOD_SECONDS, self.confirming.take_turn)
         self.timer.subscribe(REFRESH_SECONDS, self.steering.refresh)
+        self.timer.subscribe(REPORT_PERIOD_SECONDS, self.confirmation.tick)
+        self.timer.subscribe(DRIVE_PERIOD_SECONDS, self.shifts.tick)
         self.timer.subscribe(POLL_PERIOD_SECONDS, self.load.poll)
         self.timer.subscribe(REPEAT_PERIOD_SECONDS, self.notices.repeat)
         self.timer.subscribe(EXPIRY_PERIOD_SECONDS, self.guard.expire)
@@ -244,6 +279,9 @@
         usable = usable_members(self.members.by_ordinal, but=own)
         return tuple(member.caller_address for member in usable[:MAX_NAMED_VMS])
 
+    def _addresses_by_ordinal(self) -> dict[int, Address]:
+        return {member.claim.ordinal: member.peer_address for member in self._others()}
+
     def _others(self) -> list[Member]:
         own = self.members.own.ordinal if self.members.own is not None else None
         members = self.members.by_ordinal.items()
@@ -261,6 +299,7 @@
         self.permits.set_configuration(configuration)
         self.lending.set_configuration(configuration)
         self.steering.set_configuration(configuration)
+        self.blocks.set_configuration(configuration)
         self.health.set_configuration(configuration, clock.now())
         self.admission.set_configuration(configuration)
         self.relay.set_configuration(configuration)
@@ -315,6 +354,8 @@
             members=self.members,
             writer=self.writer,
             permits=self.permits,
+            shifts=self.shifts,
+            blocks=BlockLoader(self.blocks, self.writer),
         )
         self._operator_server = Server([service])
         try:
--- a/packages/daisylift-node/src/daisylift_node/process/operator.py
+++ b/packages/daisylift-node/src/daisylift_node/process/operator.py
@@ -30,8 +30,10 @@
     malformed_reply,
     shift_status,
 )
+from daisylift_node.version.block_loader import MAX_BLOCKS_PER_CALL, BlockLoader
 from daisylift_node.version.change_writer import ChangeWriter
 from daisylift_node.version.configuration import ConfigurationFollower
+from daisylift_node.version.shift_driver import ShiftDriver
 
 KEY_METADATA = 'daisylift-key'
 
@@ -60,6 +62,8 @@
         members: Members,
         writer: ChangeWriter,
         permits: PermitPool,
+        shifts: ShiftDriver,
+        blocks: BlockLoader,
     ) -> None:
         self._permits = permits
         self._vm = vm
@@ -67,6 +71,8 @@
         self._follower = follower
         self._members = members
         self._writer = writer
+        self._shifts = shifts
+        self._blocks = blocks
 
     async def PutPolicy(self, stream: Stream) -> None:  # noqa: N802
         """Replace the policy."""
@@ -122,13 +128,42 @@
 
     async def LoadBlocks(self, stream: Stream) -> None:  # noqa: N802
         """Load client blocks."""
-        raise GRPCError(Status.UNIMPLEMENTED, 'blocks can not be loaded yet')
+        require_key(stream.metadata, self._key)
+        first = None
+        blocks: list[tuple[str, str]] = []
+        async for message in stream:
+            first = first or message
+            blocks.extend((block.block, block.home) for block in message.blocks)
+            if len(blocks) > MAX_BLOCKS_PER_CALL:
+                raise GRPCError(
+                    Status.RESOURCE_EXHAUSTED,
+                    f'more than {MAX_BLOCKS_PER_CALL} blocks in one call',
+                )
+        if first is None:
+            raise GRPCError(Status.INVALID_ARGUMENT, 'the request is empty')
+        try:
+            outcome = await self._blocks.load(
+                self._follower.current,
+                blocks,
+                first.header.base_version,
+                first.header.operation_id,
+                first.header.operator,
+                replace_all=first.replace_all,
+            )
+        except ValidationError as error:
+            await stream.send_message(malformed_reply(error))
+            return
+        await stream.send_message(change_reply(outcome))
 
     async def GetShifts(self, stream: Stream) -> None:  # noqa: N802
         """Return the shifts and why those that wait do so."""
         await self._receive(stream)
         current = self._follower.current
-        shifts = [shift_status(shift, '') for shift in current.shifts.values()]
+        holds = self._shifts.hold_by_shift
+        shifts = [
+            shift_status(shift, holds.get(name))
+            for name, shift in current.shifts.items()
+        ]
         await stream.send_message(
             pb.GetShiftsReply(version=current.version, shifts=shifts)
         )
--- a/packages/daisylift-node/src/daisylift_node/version/configuration.py
+++ b/packages/daisylift-node/src/daisylift_node/version/configuration.py
@@ -14,13 +14,20 @@
 from daisylift_node.version.change_log import KIND, ChangeLog
 
 WATCH_SECONDS = 20.0
+FOLLOWER_PERIOD_SECONDS = 1.0
+FOLLOWER_READ_SECONDS = 600.0
 RETRY_SECONDS = 0.5
 
 Listener = Callable[[Configuration], None]
+ChangeListener = Callable[[Configuration, Change | None], None]
 
 
 class ConfigurationFollower:
-    """Holds the configuration in force and brings it up to date."""
+    """Holds the configuration in force and brings it up to date.
+
+    Only watchers hold a watch at the platform; ``is_watcher`` says whether this node
+    is one of them at the moment.
+    """
 
     def __init__(self, platform: PlatformClient, metrics: Metrics) -> None:
         self.current = Configuration()
@@ -28,12 +35,22 @@
         self._platform = platform
         self._metrics = metrics
         self._listeners: list[Listener] = []
+        self._change_listeners: list[ChangeListener] = []
         self._task: asyncio.Task[None] | None = None
+        self._read_at = float('-inf')
+        self.is_watcher: Callable[[], bool] = lambda: True
 
     def subscribe(self, listener: Listener) -> None:
         """Tell the listener of each configuration that comes into force."""
         self._listeners.append(listener)
 
+    def subscribe_changes(self, listener: ChangeListener) -> None:
+        """Tell the listener of each change, with the configuration before it.
+
+        None in place of a change says that versions were passed over.
+        """
+        self._change_listeners.append(listener)
+
     async def start(self) -> None:
         """Read what is there, then keep following."""
         await self.catch_up()
@@ -64,11 +81,14 @@
         for change in changes:
             if change.version <= self.current.version:
                 continue
+            previous = self.current
             try:
-                self.current = apply_change(self.current, change)
+                self.current = apply_change(previous, change)
             except PolicyError as error:
                 logger.error('change {} can not be applied: {}', change.version, error)
                 break
+            for listener in self._change_listeners:
+                listener(previous, change)
             self._announce()
 
     def _announce(self) -> None:
@@ -80,6 +100,9 @@
     async def _follow(self) -> None:
         revision = 0
         while True:
+            if not self.is_watcher():
+                await self._wait_as_follower()
+                continue
             batch = await self._platform.watch(KIND, revision, WATCH_SECONDS)
             match batch:
                 case Success(found):
@@ -88,3 +111,11 @@
                         await self.catch_up()
                 case Failure():
                     await asyncio.sleep(RETRY_SECONDS)
+
+    async def _wait_as_follower(self) -> None:
+        """Let peers bring the news; read the log rarely, in case none does."""
+        now = asyncio.get_running_loop().time()
+        if now - self._read_at >= FOLLOWER_READ_SECONDS:
+            self._read_at = now
+            await self.catch_up()
+        await asyncio.sleep(FOLLOWER_PERIOD_SECONDS)
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -1,6 +1,7 @@
 """Starts stand-ins and nodes as separate processes on loopback."""
 
 import json
+import random
 import socket
 import subprocess
 import sys
@@ -17,6 +18,7 @@
 START_SECONDS = 20.0
 STOP_SECONDS = 20.0
 POLL_SECONDS = 0.05
+LISTEN_PORTS = (15_000, 32_000)
 
 NODE_SETTINGS = """\
 [vm]
@@ -55,16 +57,29 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(('127.0.0.1', 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
+    """Return ports that were free a moment ago, for TCP and UDP.
+
+    They lie below those that the system gives to outgoing connections, so that a
+    process which is killed and started again finds its ports still free.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.SystemRandom().randrange(*LISTEN_PORTS)
+        if port not in ports and _is_free(port):
+            ports.append(port)
     return ports
 
 
+def _is_free(port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(type=kind) as one:
+            try:
+                one.bind(('127.0.0.1', port))
+            except OSError:
+                return False
+    return True
+
+
 @dataclass(slots=True)
 class NodeProcess:
     """One node: its ports, its settings file and its process."""
