--- a/packages/daisylift-node/src/daisylift_node/process/application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/application.py
@@ -110,6 +110,7 @@
             clock=clock.now,
         )
         self.notices.listen(self.breaks, self.health)
+        self.membership.listen_to_vm_list(self.health.vm_list_read)
         self.admission = Admission(
             failure_domain=settings.vm.failure_domain,
             permits=self.permits,
--- a/packages/daisylift-node/src/daisylift_node/process/health.py
+++ b/packages/daisylift-node/src/daisylift_node/process/health.py
@@ -9,6 +9,7 @@
 MAX_EJECTED_SHARE = 0.5
 SERVER_ERROR_STATUS = 500
 TRUE = 'true'
+LEAVING = 'leaving'
 
 Clock = Callable[[], float]
 DrainListener = Callable[[ServerKey, bool], None]
@@ -97,6 +98,16 @@
         if self._note_drain(key, draining):
             self._on_drain(key, draining)
 
+    def vm_list_read(self, states: Mapping[str, str]) -> None:
+        """Take servers whose VM the platform lists as leaving for draining.
+
+        A server stands on the VM of its own name, if the platform lists one.
+        """
+        leaving = {vm for vm, state in states.items() if state == LEAVING}
+        for key in self.by_server if leaving else ():
+            if key.server in leaving:
+                self.drain_seen(key, True)
+
     def drain_heard(self, key: ServerKey, draining: bool) -> None:
         """Note what others say of a server's draining."""
         self._note_drain(key, draining)
--- a/packages/daisylift-node/src/daisylift_node/process/membership.py
+++ b/packages/daisylift-node/src/daisylift_node/process/membership.py
@@ -1,7 +1,7 @@
 """Joins the membership protocol to the peer socket, the timer and the platform."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from loguru import logger
 from returns.result import Success
@@ -28,6 +28,7 @@
 )
 
 Clock = Callable[[], float]
+VmListListener = Callable[[Mapping[str, str]], None]
 
 
 class Membership:
@@ -56,6 +57,11 @@
         self._events = metrics.member_events
         self._clock = clock
         self._stopped = False
+        self._vm_list_listeners: list[VmListListener] = []
+
+    def listen_to_vm_list(self, listener: VmListListener) -> None:
+        """Tell the listener of each reading: the states of the VMs, by id."""
+        self._vm_list_listeners.append(listener)
 
     @property
     def table(self) -> MemberTable:
@@ -104,6 +110,8 @@
                 states = {vm.id: vm.state for vm in vms}
                 self._protocol.on_vm_list(states, self._clock())
                 self._carry_out()
+                for listener in self._vm_list_listeners:
+                    listener(states)
 
     def _on_sender(self, sender: Sender) -> None:
         self._protocol.on_heard(sender.vm, sender.incarnation, self._clock())
