--- a/packages/daisylift-node/src/daisylift_node/connection/caller.py
+++ b/packages/daisylift-node/src/daisylift_node/connection/caller.py
@@ -1,5 +1,6 @@
 """The callers' port: dispatches requests, and answers even the unreadable ones."""
 
+import asyncio
 from collections.abc import Awaitable, Callable, Sequence
 
 from aiohttp import web
@@ -22,6 +23,11 @@
 MAX_FIELD_BYTES = 16 * 1024
 IDLE_SECONDS = 75.0
 UNREAD_BODY_SECONDS = 1.0
+MAX_CONNECTIONS = 8192
+TOO_MANY_CONNECTIONS = (
+    b'HTTP/1.1 503 Service Unavailable\r\nDaisylift-Outcome: did-not-run\r\n'
+    b'Retry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n'
+)
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -47,7 +53,16 @@
 
 
 class CallerServer(web.Server):
-    """Makes a CallerConnection for each caller that connects."""
+    """Makes a CallerConnection for each caller that connects, up to a bound."""
+
+    def connection_made(
+        self, handler: web.RequestHandler, transport: asyncio.Transport
+    ) -> None:
+        """Take a connection in, or turn it away before it can ask for anything."""
+        super().connection_made(handler, transport)
+        if len(self._connections) > MAX_CONNECTIONS:
+            transport.write(TOO_MANY_CONNECTIONS)
+            transport.close()
 
     def __call__(self) -> web.RequestHandler:
         """Return the protocol of a new connection."""
@@ -78,6 +93,7 @@
         dispatch,
         handler_cancellation=True,
         access_log=None,
+        auto_decompress=False,
         max_field_size=MAX_FIELD_BYTES,
         max_line_size=MAX_FIELD_BYTES,
         keepalive_timeout=IDLE_SECONDS,
--- a/packages/daisylift-node/src/daisylift_node/process/links.py
+++ b/packages/daisylift-node/src/daisylift_node/process/links.py
@@ -1,6 +1,6 @@
 """Paces what this node sends and asks for over the links between regions."""
 
-import asyncio
+from asyncio import sleep
 from collections.abc import Callable
 
 from daisylift.decisions.configuration import Configuration
@@ -45,4 +45,4 @@
         )
         seconds = self._shares.take(source, destination, size, self._clock())
         if seconds > 0.0:
-            await asyncio.sleep(seconds)
+            await sleep(seconds)
--- a/tests/fakes/relay.py
+++ b/tests/fakes/relay.py
@@ -74,6 +74,7 @@
     """A relay under test; ``port`` is where callers reach it."""
 
     port: int
+    server: web.Server
     permits: FakePermits
     health: HealthBook
     admission: Admission
@@ -184,14 +185,14 @@
         metrics=metrics,
         clock=now,
     )
-    runner = web.ServerRunner(
-        caller_server(_no_lookup, _no_lookup, relay.handle), shutdown_timeout=0.1
-    )
+    server = caller_server(_no_lookup, _no_lookup, relay.handle)
+    runner = web.ServerRunner(server, shutdown_timeout=0.1)
     await runner.setup()
     site = web.TCPSite(runner, '127.0.0.1', 0)
     await site.start()
     node = RelayNode(
         port=next(_ports(runner)),
+        server=server,
         permits=permits,
         health=health,
         admission=admission,
--- a/tests/test_caller_port.py
+++ b/tests/test_caller_port.py
@@ -116,6 +116,22 @@
         assert not any(node.permits.used.values())
 
 
+async def test_connections_beyond_the_bound_are_turned_away(monkeypatch):
+    monkeypatch.setattr('daisylift_node.connection.caller.MAX_CONNECTIONS', 2)
+    async with relay_before(answer_ok) as (node, servers):
+        kept = [await asyncio.open_connection('127.0.0.1', node.port) for _ in range(2)]
+        for reader, writer in kept:
+            writer.write(f'{TILL}\r\n'.encode())
+            assert b' 200 ' in await reader.readline()
+        over = await send_raw(node.port, (TILL + END).encode())
+        assert over.status == 503 or over.was_reset
+        assert len(servers[0].requests) == 2
+        for _, writer in kept:
+            writer.transport.abort()
+        await settled(lambda: not node.server.connections)
+        assert (await send_raw(node.port, (TILL + END).encode())).status == 200
+
+
 async def test_requests_wait_in_a_bounded_queue_and_are_served_in_order(monkeypatch):
     monkeypatch.setattr('daisylift_node.request.admission.MAX_WAITING', 2)
     release = asyncio.Event()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,5 +1,8 @@
 """Tests of the relay: requests and answers pass whole and unchanged (issue 3)."""
 
+import gzip
+import zlib
+
 import aiohttp
 import pytest
 from yarl import URL
@@ -89,6 +92,25 @@
         assert await answer.read() == body
 
 
+@pytest.mark.parametrize('coding', ['gzip', 'deflate'])
+async def test_coded_bodies_pass_as_they_are(coding):
+    body = (gzip if coding == 'gzip' else zlib).compress(b'napkins ' * 1000)
+    coded = {'Content-Encoding': coding}
+
+    async def echo_coded(request):
+        length = f'Content-Length: {len(request.body)}'
+        head = f'HTTP/1.1 200 OK\r\nContent-Encoding: {coding}\r\n{length}\r\n\r\n'
+        await request.answer(head.encode() + request.body)
+
+    async with (
+        relay_before(echo_coded) as (node, servers),
+        aiohttp.ClientSession(auto_decompress=False) as session,
+        session.post(f'{node.url}/x', data=body, headers=coded) as answer,
+    ):
+        assert await answer.read() == body
+        assert servers[0].requests[0].body == body
+
+
 @pytest.mark.parametrize(
     ('method', 'raw', 'status'),
     [
