Plant 14 faults in the request path, and make the one that stayed green show

Cause: a test that can't fail proves nothing. Of 14 planted faults 13 turned the tests red; "a begun answer not noted" stayed green, as the deadline alone hid the second try. Ruled out: taking the note out as useless; without it a refusal is written to a connection that was cut, and the try counts as one that may be repeated. Before: 13 of 14 found. After: 14 of 14, as the test now counts tries.

--- a/tests/test_relay_faults.py
+++ b/tests/test_relay_faults.py
@@ -219,6 +219,7 @@
         answer = await send_raw(node.port, f'{raw}\r\n{CLOSE}'.encode())
         assert answer.was_reset
         assert answer.raw.endswith(b'\r\n\r\nabc')
+        assert node.counted('daisylift_retries_total') == 0
         assert sum(len(server.requests) for server in servers) == 1
         assert node.permits.in_doubt == [True]
 
