Measure what a load poll costs a node

Ruled out: polling by all nodes (930 polls of each server in 2 s). Before: the period was argued from a guess of 200 us.

--- /dev/null
+++ b/bench/polling.py
@@ -0,0 +1,77 @@
+"""Measures what polling the load of backend servers costs a node.
+
+``python -m bench.polling`` polls stand-ins of a process of their own and prints the
+processor time of one poll on the node's side, and what that makes at the target's size.
+"""
+
+import asyncio
+import json
+import subprocess
+import sys
+import time
+
+from bench.tables import median_of, print_machine, print_table
+from daisylift.decisions.configuration import Configuration
+from daisylift.decisions.polling import POLLERS
+from daisylift_node.connection.upstream import UpstreamConnections
+from daisylift_node.process import clock
+from daisylift_node.process.health import HealthBook
+from daisylift_node.process.load import POLL_PERIOD_SECONDS, LoadPoller
+from daisylift_node.process.metrics import Metrics
+from tests.fakes.fleet import free_ports, wait_for
+from tests.fakes.relay import relay_policy
+
+SIZES = (4, 16, 64)
+ROUNDS = 5
+POLLS_PER_ROUND = 20
+TARGET_NODES = 930
+TARGET_SERVERS = 10_000
+MICROSECONDS = 1e6
+
+
+async def microseconds_per_poll(ports: list[int]) -> float:
+    """Return the median processor time of one poll among servers on the ports."""
+    connections = UpstreamConnections()
+    configuration = Configuration(version=1, policy=relay_policy(ports))
+    health = HealthBook(lambda *_: None, clock.now)
+    health.set_configuration(configuration, clock.now())
+    poller = LoadPoller(connections, health, Metrics(), clock.now)
+    poller.set_configuration(configuration)
+    poller.set_ordinal(0)
+    await poller.poll()
+    times = []
+    for _ in range(ROUNDS):
+        started = time.process_time()
+        for _ in range(POLLS_PER_ROUND):
+            await poller.poll()
+        spent = time.process_time() - started
+        times.append(spent / POLLS_PER_ROUND / len(ports) * MICROSECONDS)
+    await connections.stop()
+    return median_of(times)
+
+
+def main() -> None:
+    """Print the cost of a poll at three sizes, and the target's sum."""
+    ports = free_ports(max(SIZES))
+    servers = [{'port': port, 'name': f's{port}', 'slots': 4} for port in ports]
+    stand_ins = subprocess.Popen(
+        [sys.executable, '-m', 'tests.fakes.upstream', json.dumps(servers)]
+    )
+    try:
+        wait_for(f'http://127.0.0.1:{ports[-1]}/control')
+        costs = [asyncio.run(microseconds_per_poll(ports[:size])) for size in SIZES]
+    finally:
+        stand_ins.terminate()
+        stand_ins.wait()
+    print_machine()
+    rows = [(size, f'{cost:.0f}') for size, cost in zip(SIZES, costs, strict=True)]
+    print_table('One poll, median of 5 rounds', ('servers polled', 'us per poll'), rows)
+    polls = TARGET_SERVERS * POLLERS / TARGET_NODES / POLL_PERIOD_SECONDS
+    print(
+        f'\n{TARGET_SERVERS} servers, {TARGET_NODES} nodes: {polls:.1f} polls a second '
+        f'for a node, {polls * costs[-1] / 1000:.1f} ms of processor time a second'
+    )
+
+
+if __name__ == '__main__':
+    main()
