Bound a keyed request's waits by the node's clock, not the loop's

Cause: deadlines are moments of the clock that also counts while the VM is suspended; two waits of the keyed path gave them to the loop, whose clock does not. On a VM that was suspended once they would end that much too late. Ruled out: deadlines by the loop's clock (a frozen node would not see them pass). Before: the new test, with a clock far ahead, waited without end. After: both end at the deadline.

--- a/packages/daisylift-node/src/daisylift_node/request/guard.py
+++ b/packages/daisylift-node/src/daisylift_node/request/guard.py
@@ -115,7 +115,7 @@
         own = self._members.own
         if own is None:
             return Refused(refusals.not_ready())
-        refusal = await _read_body(call)
+        refusal = await read_body(call, self._clock())
         if refusal is not None:
             return Refused(refusal)
         wanted = fingerprint(
@@ -271,9 +271,10 @@
     return Answered()
 
 
-async def _read_body(call: Call) -> Refusal | None:
+async def read_body(call: Call, now: float) -> Refusal | None:
+    """Read the whole body, within the deadline; return why that failed, if it did."""
     try:
-        async with asyncio.timeout_at(call.deadline.at):
+        async with asyncio.timeout(call.deadline.left(now)):
             is_whole = await call.body.read_whole(MAX_KEYED_BODY_BYTES)
     except CallerBodyError:
         return did_not_run(Reason.BAD_BODY, 'the body ended short')
--- a/packages/daisylift-node/src/daisylift_node/request/keyed_forward.py
+++ b/packages/daisylift-node/src/daisylift_node/request/keyed_forward.py
@@ -57,7 +57,7 @@
         url = URL(f'http://{address}{call.request.raw_path}', encoded=True)
         try:
             async with (
-                asyncio.timeout_at(call.deadline.at),
+                asyncio.timeout(call.deadline.left(now)),
                 self._session.request(
                     call.method,
                     url,
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -1,12 +1,16 @@
 """Tests of passing requests on to an entry VM with idle slots (issue 3)."""
 
 import asyncio
+from types import SimpleNamespace
 
 import aiohttp
 import pytest
+from multidict import CIMultiDict
 from returns.result import Failure, Success
 
+from daisylift.decisions.deadlines import Deadline
 from daisylift.models import Claim
+from daisylift.outcome import Outcome
 from daisylift.schema import peer_pb2 as pb
 from daisylift_node.connection.peers import Received, TimedOut
 from daisylift_node.connection.upstream import UpstreamConnections
@@ -14,8 +18,11 @@
 from daisylift_node.process.idle import KEPT_SECONDS, IdlePeers
 from daisylift_node.process.members import Member
 from daisylift_node.request.forward import Forwarder
+from daisylift_node.request.guard import read_body
+from daisylift_node.request.keyed_forward import KeyedForwarder
+from daisylift_node.request.problem import Reason
 from tests.fakes.relay import relay_before
-from tests.fakes.wire import answer_ok, drop, stay_silent
+from tests.fakes.wire import WireServer, answer_ok, drop, stay_silent
 
 
 def member(ordinal, caller_port=1):
@@ -140,6 +147,31 @@
         assert pair.here.calls == 1
 
 
+async def test_limits_of_time_follow_the_clock_of_the_node_not_the_loop():
+    """The two differ on a VM that was suspended (issue 3)."""
+    silent = WireServer(stay_silent)
+    await silent.start()
+    now = 5_000_000.0
+    request = SimpleNamespace(
+        raw_path='/v1/services/till/pay', method='POST', headers=CIMultiDict()
+    )
+    call = SimpleNamespace(
+        request=request,
+        method='POST',
+        deadline=Deadline(now + 0.1),
+        body=SimpleNamespace(head=b'1', read_whole=lambda _: asyncio.sleep(30.0)),
+    )
+    forwarder = KeyedForwarder('vm-0')
+    await forwarder.start()
+    async with asyncio.timeout(5.0):
+        ending = await forwarder.forward(call, f'127.0.0.1:{silent.port}', now)
+        refusal = await read_body(call, now)
+    assert ending.outcome is Outcome.UNKNOWN
+    assert refusal.reason is Reason.DEADLINE_PASSED
+    await forwarder.stop()
+    await silent.stop()
+
+
 class TellingPeers:
     """Answers idle queries for its peers, counted by address."""
 
