Never count a server's requests below zero, and split waiting from admission

Cause: a server taken out of the policy and put back while it worked began at 0 and was counted down to -1 when that work ended; with one free slot the next choice divided by zero, and a request of that service ended as internal-error. Ruled out: keeping counts of servers that are not in the policy (the permits do that).

--- a/packages/daisylift-node/src/daisylift_node/request/admission.py
+++ b/packages/daisylift-node/src/daisylift_node/request/admission.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 from returns.result import Failure, Result, Success
 
@@ -11,13 +10,19 @@
     NOWHERE,
     Random,
     RoutedServer,
-    RoutingTable,
 )
-from daisylift.models import BackendServer, Policy, Service
+from daisylift.models import Policy, Service
 from daisylift_node.process.health import HealthBook
-from daisylift_node.process.permits import Permit, PermitPool
+from daisylift_node.process.permits import PermitPool
 from daisylift_node.request.call import Call
 from daisylift_node.request.problem import Reason
+from daisylift_node.request.waiting import (
+    Attempt,
+    ServiceQueue,
+    Waiter,
+    dismiss,
+    settle,
+)
 
 MAX_WAITING = 512
 RECHECK_SECONDS = 0.02
@@ -26,36 +31,6 @@
 ClosedRegions = Callable[[], frozenset[str]]
 
 
-@dataclass(frozen=True, slots=True)
-class Attempt:
-    """One try of a request at one backend server."""
-
-    key: ServerKey
-    server: BackendServer
-    region: str
-    permit: Permit
-    connections: int
-
-
-@dataclass(slots=True)
-class Waiter:
-    """A request that waits for a permit."""
-
-    future: asyncio.Future[Attempt | None]
-    excluded: frozenset[str]
-
-
-@dataclass(slots=True)
-class ServiceQueue:
-    """The routing table of a service and the requests that wait, oldest first."""
-
-    service: Service
-    table: RoutingTable = field(default_factory=RoutingTable)
-    servers_by_name: dict[str, BackendServer] = field(default_factory=dict)
-    waiting: dict[int, Waiter] = field(default_factory=dict)
-    recheck: asyncio.TimerHandle | None = None
-
-
 class Admission:
     """Hands out attempts; the longest waiting request is served first."""
 
@@ -87,7 +62,7 @@
             self._fill(queue, service, configuration)
             self._queues[service.name] = queue
         for queue in before.values():
-            _dismiss(queue)
+            dismiss(queue)
         for queue in self._queues.values():
             self._serve(queue)
 
@@ -150,7 +125,7 @@
             return
         server = queue.table.by_name.get(attempt.key.server)
         if server is not None:
-            server.in_flight -= 1
+            server.in_flight = max(0, server.in_flight - 1)
             queue.table.learn(server)
         self.server_changed(attempt.key)
 
@@ -162,6 +137,13 @@
         now = self._clock()
         return sum(s.free for s in queue.table.by_name.values() if s.has_room(now))
 
+    def in_flight(self, service: str) -> int:
+        """Return how many requests of the service are under way."""
+        queue = self._queues.get(service)
+        if queue is None:
+            return 0
+        return sum(server.in_flight for server in queue.table.by_name.values())
+
     def waiting(self, service: str) -> int:
         """Return how many requests of the service wait."""
         queue = self._queues.get(service)
@@ -175,7 +157,7 @@
         number = self._next_number
         self._next_number += 1
         queue.waiting[number] = waiter
-        expiry = loop.call_later(until - self._clock(), _settle, waiter, None)
+        expiry = loop.call_later(until - self._clock(), settle, waiter, None)
         self._recheck_later(queue)
         try:
             return await waiter.future
@@ -202,7 +184,7 @@
             attempt = self._take(queue, waiter.excluded)
             if attempt is not None:
                 del queue.waiting[number]
-                _settle(waiter, attempt)
+                settle(waiter, attempt)
             elif not waiter.excluded:
                 return
 
@@ -282,13 +264,3 @@
         if any(s.free and s.region in closed for s in queue.table.by_name.values()):
             return Reason.LINK_SPENT
         return Reason.NO_FREE_SLOT
-
-
-def _settle(waiter: Waiter, attempt: Attempt | None) -> None:
-    if not waiter.future.done():
-        waiter.future.set_result(attempt)
-
-
-def _dismiss(queue: ServiceQueue) -> None:
-    for waiter in queue.waiting.values():
-        _settle(waiter, None)
--- a/packages/daisylift-node/src/daisylift_node/request/exchange.py
+++ b/packages/daisylift-node/src/daisylift_node/request/exchange.py
@@ -19,11 +19,11 @@
 )
 from daisylift_node.process.health import HealthBook
 from daisylift_node.process.links import LinkPacer
-from daisylift_node.request.admission import Attempt
 from daisylift_node.request.answer import answer_fields, pass_answer
 from daisylift_node.request.call import Call
 from daisylift_node.request.ending import BrokenOff, Ending, Refused
 from daisylift_node.request.problem import Reason, did_not_run, unknown
+from daisylift_node.request.waiting import Attempt
 
 SERVICE_UNAVAILABLE = 503
 SLOW_SHARE = 0.5
--- a/packages/daisylift-node/src/daisylift_node/request/relay.py
+++ b/packages/daisylift-node/src/daisylift_node/request/relay.py
@@ -19,7 +19,7 @@
 from daisylift.outcome import Outcome
 from daisylift_node.process.breaking import BreakRegister
 from daisylift_node.process.metrics import Metrics
-from daisylift_node.request.admission import Admission, Attempt
+from daisylift_node.request.admission import Admission
 from daisylift_node.request.body import CallerBodyError
 from daisylift_node.request.call import Call, check_call
 from daisylift_node.request.elsewhere import Elsewhere
@@ -38,6 +38,7 @@
     did_not_run,
     refusal_response,
 )
+from daisylift_node.request.waiting import Attempt
 
 NO_SERVICE = ''
 PASSED_ON_REASONS = frozenset(
--- a/tests/test_link_pacing.py
+++ b/tests/test_link_pacing.py
@@ -115,3 +115,34 @@
             assert answer.status == 200
             await answer.read()
         await settled(lambda: not any(node.permits.used.values()))
+
+
+async def test_server_taken_out_and_put_back_while_it_works_keeps_its_count():
+    release = asyncio.Event()
+
+    async def held(request):
+        await release.wait()
+        await answer_ok(request)
+
+    async with (
+        relay_before(held, held) as (node, servers),
+        aiohttp.ClientSession() as session,
+    ):
+        node.permits.slots = 1
+        node.admission.permits_changed()
+        running = [
+            asyncio.create_task(session.post(f'{node.url}/{number}'))
+            for number in range(2)
+        ]
+        await settled(lambda: servers[0].requests and servers[1].requests)
+        ports = [server.port for server in servers]
+        node.configure(Configuration(2, relay_policy(ports[1:])))
+        node.configure(Configuration(3, relay_policy(ports)))
+        release.set()
+        for answer in await asyncio.gather(*running):
+            assert answer.status == 200
+        await settled(lambda: not any(node.permits.used.values()))
+        assert node.admission.in_flight('till') == 0
+        for number in range(6):
+            async with session.post(f'{node.url}/again/{number}') as answer:
+                assert answer.status == 200
