--- a/packages/daisylift-node/src/daisylift_node/process/application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/application.py
@@ -142,6 +142,7 @@
             metrics=self.metrics,
         )
         self.notices.listen(self.breaks, self.health)
+        self.membership.listen_to_vm_list(self.health.vm_list_read)
         self.admission = Admission(
             failure_domain=settings.vm.failure_domain,
             permits=self.permits,
