--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -1,6 +1,7 @@
 """Starts stand-ins and nodes as separate processes on loopback."""
 
 import json
+import random
 import socket
 import subprocess
 import sys
@@ -14,6 +15,7 @@
 from daisylift.models import Policy
 
 KEY = 'loopback-key-for-trials'
+LISTEN_PORTS = (10_000, 32_000)
 START_SECONDS = 20.0
 STOP_SECONDS = 20.0
 POLL_SECONDS = 0.05
@@ -55,10 +57,20 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(('127.0.0.1', 0))
+    """Return ports that were free a moment ago.
+
+    They lie below the range from which the kernel gives ports to connections, as
+    one of those could take a port before its process listens there.
+    """
+    sockets: list[socket.socket] = []
+    while len(sockets) < count:
+        one = socket.socket()
+        try:
+            one.bind(('127.0.0.1', random.randrange(*LISTEN_PORTS)))
+        except OSError:
+            one.close()
+        else:
+            sockets.append(one)
     ports = [one.getsockname()[1] for one in sockets]
     for one in sockets:
         one.close()
