--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -15,10 +15,10 @@
 from daisylift.models import Policy
 
 KEY = 'loopback-key-for-trials'
+LISTEN_PORTS = (10_000, 32_000)
 START_SECONDS = 20.0
 STOP_SECONDS = 20.0
 POLL_SECONDS = 0.05
-LISTEN_PORTS = (15_000, 32_000)
 
 NODE_SETTINGS = """\
 [vm]
