Drive shifts from any node, and learn what the whole fleet steers by

Cause: nothing advanced a shift. Each node now decides twice a second on the active shifts whose turn it is; the conditional update on the version that it decided on picks the winner. That all live nodes steer by a version is learnt along a tree of ordinals: a node sends its parent the lowest version of its subtree and gets the fleet's, one datagram each a period, and nothing once the newest version is confirmed. Members that only do not answer are waited for; those that the platform's list says are gone are not.

Ruled out: each node asking every other, 929 messages a node and stage; deciding on versions last heard by chance, which takes minutes at 930 nodes.

Before: shift show stood at stage 0. Status shows what each ordinal confirmed.

--- a/packages/daisylift-admin/src/daisylift_admin/output/formatters.py
+++ b/packages/daisylift-admin/src/daisylift_admin/output/formatters.py
@@ -44,7 +44,8 @@
     lines = [f'{reply.vm} at version {reply.version}']
     lines.extend(
         f'{member.ordinal:>4}  {member.vm:<16} {member.failure_domain:<16} '
-        f'{member.state:<8} {member.caller_address}'
+        f'{member.state:<8} {member.caller_address:<21} '
+        f'confirmed {member.confirmed_version}'
         for member in reply.members
     )
     return '\n'.join(lines) + '\n'
--- a/packages/daisylift-node/src/daisylift_node/process/application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/application.py
@@ -46,6 +46,12 @@
 from daisylift_node.request.request_ids import RequestIdIssuer
 from daisylift_node.version.change_writer import ChangeWriter
 from daisylift_node.version.configuration import ConfigurationFollower
+from daisylift_node.version.confirmation import (
+    REPORT_PERIOD_SECONDS,
+    FleetConfirmation,
+)
+from daisylift_node.version.shift_driver import DRIVE_PERIOD_SECONDS, ShiftDriver
+from daisylift_node.version.site_loads import SiteLoads
 from daisylift_node.version.steering import REFRESH_SECONDS, Steering
 
 MEMBERS_PERIOD_SECONDS = 1.0
@@ -111,6 +117,17 @@
             metrics=self.metrics,
             clock=clock.now,
         )
+        self.confirmation = FleetConfirmation(
+            self.members, self.peers, lambda: self.steering.steered_version
+        )
+        self.shifts = ShiftDriver(
+            follower=self.follower,
+            writer=self.writer,
+            members=self.members,
+            confirmation=self.confirmation,
+            loads=SiteLoads(self.load, self.follower),
+            metrics=self.metrics,
+        )
         self.notices.listen(self.breaks, self.health)
         self.admission = Admission(
             failure_domain=settings.vm.failure_domain,
@@ -179,6 +196,7 @@
             self.platform,
             self.peers,
             self.membership,
+            self.confirmation,
             self.connections,
             self.peer_connections,
             self.follower,
@@ -201,6 +219,8 @@
         self.timer.subscribe(LENDING_PERIOD_SECONDS, self.lending.take_turn)
         self.timer.subscribe(CONFIRMING_PERIOD_SECONDS, self.confirming.take_turn)
         self.timer.subscribe(REFRESH_SECONDS, self.steering.refresh)
+        self.timer.subscribe(REPORT_PERIOD_SECONDS, self.confirmation.tick)
+        self.timer.subscribe(DRIVE_PERIOD_SECONDS, self.shifts.tick)
         self.timer.subscribe(POLL_PERIOD_SECONDS, self.load.poll)
         self.timer.subscribe(REPEAT_PERIOD_SECONDS, self.notices.repeat)
         self.timer.subscribe(EXPIRY_PERIOD_SECONDS, self.guard.expire)
@@ -315,6 +335,7 @@
             members=self.members,
             writer=self.writer,
             permits=self.permits,
+            shifts=self.shifts,
         )
         self._operator_server = Server([service])
         try:
--- a/packages/daisylift-node/src/daisylift_node/process/operator.py
+++ b/packages/daisylift-node/src/daisylift_node/process/operator.py
@@ -32,6 +32,7 @@
 )
 from daisylift_node.version.change_writer import ChangeWriter
 from daisylift_node.version.configuration import ConfigurationFollower
+from daisylift_node.version.shift_driver import ShiftDriver
 
 KEY_METADATA = 'daisylift-key'
 
@@ -60,6 +61,7 @@
         members: Members,
         writer: ChangeWriter,
         permits: PermitPool,
+        shifts: ShiftDriver,
     ) -> None:
         self._permits = permits
         self._vm = vm
@@ -67,6 +69,7 @@
         self._follower = follower
         self._members = members
         self._writer = writer
+        self._shifts = shifts
 
     async def PutPolicy(self, stream: Stream) -> None:  # noqa: N802
         """Replace the policy."""
@@ -128,7 +131,11 @@
         """Return the shifts and why those that wait do so."""
         await self._receive(stream)
         current = self._follower.current
-        shifts = [shift_status(shift, '') for shift in current.shifts.values()]
+        holds = self._shifts.hold_by_shift
+        shifts = [
+            shift_status(shift, holds.get(name))
+            for name, shift in current.shifts.items()
+        ]
         await stream.send_message(
             pb.GetShiftsReply(version=current.version, shifts=shifts)
         )
--- a/packages/daisylift-node/src/daisylift_node/process/replies.py
+++ b/packages/daisylift-node/src/daisylift_node/process/replies.py
@@ -3,7 +3,7 @@
 from pydantic import ValidationError
 
 from daisylift.decisions.configuration import ChangeProblem
-from daisylift.decisions.shifts import Shift, points_at_stage
+from daisylift.decisions.shifts import Hold, Shift, points_at_stage
 from daisylift.decisions.steering import POINTS
 from daisylift.schema import operator_pb2 as pb
 from daisylift_node.version.change_writer import (
@@ -54,7 +54,7 @@
     return change_reply(Refused(ChangeProblem.MALFORMED, violations))
 
 
-def shift_status(shift: Shift, held_because: str) -> pb.ShiftStatus:
+def shift_status(shift: Shift, hold: Hold | None) -> pb.ShiftStatus:
     """Return what operators see of a shift; shares are of one."""
     return pb.ShiftStatus(
         shift=shift.name,
@@ -67,5 +67,5 @@
         moved_share=points_at_stage(shift, shift.stage) / POINTS,
         target_share=shift.target / POINTS,
         cap_share=shift.cap / POINTS,
-        held_because=held_because if shift.is_active else '',
+        held_because=hold.reason.value if hold is not None else '',
     )
--- a/packages/daisylift-node/src/daisylift_node/version/configuration.py
+++ b/packages/daisylift-node/src/daisylift_node/version/configuration.py
@@ -17,6 +17,7 @@
 RETRY_SECONDS = 0.5
 
 Listener = Callable[[Configuration], None]
+ChangeListener = Callable[[Configuration, Change | None], None]
 
 
 class ConfigurationFollower:
@@ -28,12 +29,20 @@
         self._platform = platform
         self._metrics = metrics
         self._listeners: list[Listener] = []
+        self._change_listeners: list[ChangeListener] = []
         self._task: asyncio.Task[None] | None = None
 
     def subscribe(self, listener: Listener) -> None:
         """Tell the listener of each configuration that comes into force."""
         self._listeners.append(listener)
 
+    def subscribe_changes(self, listener: ChangeListener) -> None:
+        """Tell the listener of each change, with the configuration before it.
+
+        None in place of a change says that versions were passed over.
+        """
+        self._change_listeners.append(listener)
+
     async def start(self) -> None:
         """Read what is there, then keep following."""
         await self.catch_up()
@@ -64,11 +73,14 @@
         for change in changes:
             if change.version <= self.current.version:
                 continue
+            previous = self.current
             try:
-                self.current = apply_change(self.current, change)
+                self.current = apply_change(previous, change)
             except PolicyError as error:
                 logger.error('change {} can not be applied: {}', change.version, error)
                 break
+            for listener in self._change_listeners:
+                listener(previous, change)
             self._announce()
 
     def _announce(self) -> None:
--- /dev/null
+++ b/packages/daisylift-node/src/daisylift_node/version/site_loads.py
@@ -0,0 +1,35 @@
+"""Load figures of sites, from the figures of regions that the load poller has."""
+
+import math
+
+from daisylift.decisions.shifts import SiteLoad
+from daisylift_node.process.load import LoadPoller
+from daisylift_node.version.configuration import ConfigurationFollower
+
+
+class SiteLoads:
+    """Divides a region's load among its sites by their slots."""
+
+    def __init__(self, poller: LoadPoller, follower: ConfigurationFollower) -> None:
+        self._poller = poller
+        self._follower = follower
+
+    def load_of(self, service: str, site: str) -> SiteLoad | None:
+        """Return the load of a service at a site, or None when it is not known."""
+        index = self._follower.current.index
+        region = index.region_by_site.get(site)
+        headroom = self._poller.headroom(service).get(region)
+        if headroom is None or not math.isfinite(headroom.age_seconds):
+            return None
+        slots_by_site = index.slots_by_site_by_service[service]
+        total = sum(
+            slots
+            for other, slots in slots_by_site.items()
+            if index.region_by_site[other] == region
+        )
+        part = slots_by_site.get(site, 0) / total
+        return SiteLoad(
+            used_slots=math.ceil(headroom.in_flight * part),
+            slots=math.floor(headroom.slots * part + 1e-9),
+            age_seconds=headroom.age_seconds,
+        )
--- a/packages/daisylift-node/src/daisylift_node/version/steering.py
+++ b/packages/daisylift-node/src/daisylift_node/version/steering.py
@@ -1,6 +1,5 @@
 """What this node steers by: effective cuts, client blocks, and the entry VMs."""
 
-import time
 from collections.abc import Mapping
 
 from daisylift.decisions import blocks
@@ -10,13 +9,17 @@
 from daisylift.decisions.limiter import CutLimiter
 from daisylift.decisions.state import UNKNOWN_HOME
 from daisylift.decisions.steering import Position, position_of, site_at
+from daisylift_node.process import clock
 from daisylift_node.process.members import Member, Members, usable_members
 
 REFRESH_SECONDS = 0.5
 
 
 class Steering:
-    """Follows configuration and members; answers from memory alone."""
+    """Follows configuration and members; answers from memory alone.
+
+    ``steered_version`` is the newest version that this node fully steers by.
+    """
 
     def __init__(self, members: Members) -> None:
         self.configuration = Configuration()
@@ -26,11 +29,12 @@
         self._members = members
         self._rings = EntryRings(())
         self._seen: object = None
+        self.steered_version = 0
 
     def set_configuration(self, configuration: Configuration) -> None:
         """Steer by another configuration, as fast as its caps allow."""
         self.configuration = configuration
-        self.limiter.step(configuration, time.monotonic())
+        self._step()
         self.stages_by_service = _stages(configuration)
 
     def set_blocks(self, table: BlockTable) -> None:
@@ -39,7 +43,7 @@
 
     async def refresh(self) -> None:
         """Take further steps, and look at the members again."""
-        self.limiter.step(self.configuration, time.monotonic())
+        self._step()
         self.refresh_entries()
 
     def refresh_entries(self) -> None:
@@ -66,6 +70,10 @@
         ordinals = self._rings.ordered(site, region, rotation)
         return [by_ordinal[ordinal] for ordinal in ordinals if ordinal in by_ordinal]
 
+    def _step(self) -> None:
+        if self.limiter.step(self.configuration, clock.now()):
+            self.steered_version = self.configuration.version
+
     def _entry_vms(self) -> tuple[EntryVm, ...]:
         configuration = self.configuration
         region_by_site = configuration.index.region_by_site
