Follow the configuration through peers, with two watchers a failure domain

Cause: every node held a watch at the platform, 930 of them at the target, and a node could not start from its peers while the store was down.

Two alive nodes of each failure domain watch now. A version that comes into force is told to four peers, with the change itself when it fits a datagram; the version rides on every datagram, and a node that is behind pulls what it lacks from the peer that told it, and from the store when the peer has not kept it (4,096 changes are). Only the next version is ever applied.

Ruled out: a fixed tree for news, since one dead node cuts off a subtree until the tree is built anew.

Before: no way to a version but the store. A checkpoint, and so a start from peers of a log longer than 4,096 changes, is not built yet.

--- a/packages/daisylift-node/src/daisylift_node/process/application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/application.py
@@ -11,6 +11,7 @@
 from daisylift.decisions.configuration import Configuration
 from daisylift.decisions.membership import MemberState
 from daisylift.decisions.stopping import StopPhase
+from daisylift.decisions.vm_list import is_watcher
 from daisylift_node.config import ListenSettings, Settings
 from daisylift_node.connection.caller import caller_server
 from daisylift_node.connection.peers import Address, PeerLink, new_incarnation
@@ -50,6 +51,7 @@
     REPORT_PERIOD_SECONDS,
     FleetConfirmation,
 )
+from daisylift_node.version.peer_sync import PeerSync
 from daisylift_node.version.shift_driver import DRIVE_PERIOD_SECONDS, ShiftDriver
 from daisylift_node.version.site_loads import SiteLoads
 from daisylift_node.version.steering import REFRESH_SECONDS, Steering
@@ -117,6 +119,14 @@
             metrics=self.metrics,
             clock=clock.now,
         )
+        self.follower.is_watcher = lambda: is_watcher(self.membership.table)
+        self.sync = PeerSync(
+            settings.peer,
+            self.peers,
+            self.follower,
+            self._addresses_by_ordinal,
+            self.metrics,
+        )
         self.confirmation = FleetConfirmation(
             self.members, self.peers, lambda: self.steering.steered_version
         )
@@ -197,6 +207,7 @@
             self.peers,
             self.membership,
             self.confirmation,
+            self.sync,
             self.connections,
             self.peer_connections,
             self.follower,
@@ -264,6 +275,9 @@
         usable = usable_members(self.members.by_ordinal, but=own)
         return tuple(member.caller_address for member in usable[:MAX_NAMED_VMS])
 
+    def _addresses_by_ordinal(self) -> dict[int, Address]:
+        return {member.claim.ordinal: member.peer_address for member in self._others()}
+
     def _others(self) -> list[Member]:
         own = self.members.own.ordinal if self.members.own is not None else None
         members = self.members.by_ordinal.items()
--- a/packages/daisylift-node/src/daisylift_node/version/configuration.py
+++ b/packages/daisylift-node/src/daisylift_node/version/configuration.py
@@ -14,6 +14,8 @@
 from daisylift_node.version.change_log import KIND, ChangeLog
 
 WATCH_SECONDS = 20.0
+FOLLOWER_PERIOD_SECONDS = 1.0
+FOLLOWER_READ_SECONDS = 600.0
 RETRY_SECONDS = 0.5
 
 Listener = Callable[[Configuration], None]
@@ -21,7 +23,11 @@
 
 
 class ConfigurationFollower:
-    """Holds the configuration in force and brings it up to date."""
+    """Holds the configuration in force and brings it up to date.
+
+    Only watchers hold a watch at the platform; ``is_watcher`` says whether this node
+    is one of them at the moment.
+    """
 
     def __init__(self, platform: PlatformClient, metrics: Metrics) -> None:
         self.current = Configuration()
@@ -31,6 +37,8 @@
         self._listeners: list[Listener] = []
         self._change_listeners: list[ChangeListener] = []
         self._task: asyncio.Task[None] | None = None
+        self._read_at = float('-inf')
+        self.is_watcher: Callable[[], bool] = lambda: True
 
     def subscribe(self, listener: Listener) -> None:
         """Tell the listener of each configuration that comes into force."""
@@ -92,6 +100,9 @@
     async def _follow(self) -> None:
         revision = 0
         while True:
+            if not self.is_watcher():
+                await self._wait_as_follower()
+                continue
             batch = await self._platform.watch(KIND, revision, WATCH_SECONDS)
             match batch:
                 case Success(found):
@@ -100,3 +111,11 @@
                         await self.catch_up()
                 case Failure():
                     await asyncio.sleep(RETRY_SECONDS)
+
+    async def _wait_as_follower(self) -> None:
+        """Let peers bring the news; read the log rarely, in case none does."""
+        now = asyncio.get_running_loop().time()
+        if now - self._read_at >= FOLLOWER_READ_SECONDS:
+            self._read_at = now
+            await self.catch_up()
+        await asyncio.sleep(FOLLOWER_PERIOD_SECONDS)
--- /dev/null
+++ b/packages/daisylift-node/src/daisylift_node/version/peer_sync.py
@@ -0,0 +1,192 @@
+"""Follows the configuration through peers: news by datagram, the rest by pulls."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.server import Server, Stream
+from loguru import logger
+from pydantic import ValidationError
+
+from daisylift.decisions.configuration import Configuration
+from daisylift.decisions.spreading import receivers_of
+from daisylift.models import Change
+from daisylift.schema import peer_pb2, sync_pb2
+from daisylift.schema.sync_grpc import ConfigurationSyncBase, ConfigurationSyncStub
+from daisylift_node.config import KeyedListenSettings
+from daisylift_node.connection.peers import Address, PeerLink, Received, Sender
+from daisylift_node.errors import PeerMessageError, StartError
+from daisylift_node.process.metrics import Metrics
+from daisylift_node.process.operator import KEY_METADATA, require_key
+from daisylift_node.version.configuration import ConfigurationFollower
+
+MAX_NEWS_BYTES = 900
+KEPT_CHANGES = 4096
+PULL_TIMEOUT_SECONDS = 5.0
+PULL_DELAY_SECONDS = 0.2
+EMPTY_PULL_PAUSE_SECONDS = 2.0
+
+Addresses = Callable[[], dict[int, Address]]
+
+
+class ChangeHistory(ConfigurationSyncBase):
+    """The latest changes as JSON, kept for peers that are behind."""
+
+    def __init__(self, key: str) -> None:
+        self._key = key
+        self._changes: deque[tuple[int, bytes]] = deque(maxlen=KEPT_CHANGES)
+
+    def add(self, change: Change) -> bytes:
+        """Keep a change and return it as JSON."""
+        content = change.model_dump_json().encode()
+        self._changes.append((change.version, content))
+        return content
+
+    def clear(self) -> None:
+        """Forget all; versions were passed over."""
+        self._changes.clear()
+
+    def after(self, version: int) -> list[bytes]:
+        """Return the changes after the version; none when some are not kept."""
+        if not self._changes or self._changes[0][0] > version + 1:
+            return []
+        return [content for number, content in self._changes if number > version]
+
+    async def Pull(self, stream: Stream) -> None:  # noqa: N802
+        """Send the changes after a version, one message each."""
+        require_key(stream.metadata, self._key)
+        request = await stream.recv_message()
+        for content in self.after(request.version if request else 0):
+            await stream.send_message(sync_pb2.PullReply(change=content))
+
+    async def GetParts(self, stream: Stream) -> None:  # noqa: N802
+        """Send no parts; this node keeps none."""
+        require_key(stream.metadata, self._key)
+
+
+class PeerSync:
+    """Tells peers of new versions and fetches from them what this node lacks."""
+
+    def __init__(
+        self,
+        settings: KeyedListenSettings,
+        link: PeerLink,
+        follower: ConfigurationFollower,
+        addresses: Addresses,
+        metrics: Metrics,
+    ) -> None:
+        self._settings = settings
+        self._link = link
+        self._follower = follower
+        self._addresses = addresses
+        self._pulls = metrics.peer_pulls
+        self._key = settings.key.get_secret_value()
+        self._history = ChangeHistory(self._key)
+        self._server = Server([self._history])
+        self._pull: asyncio.Task[None] | None = None
+        self._newest = b''
+        follower.subscribe_changes(self._on_change)
+        follower.subscribe(self._tell_peers)
+
+    async def start(self) -> None:
+        """Listen for pulls on the peer port (TCP), and for news and versions."""
+        address = self._settings
+        try:
+            await self._server.start(address.host, address.port)
+        except OSError as error:
+            raise StartError(
+                f'can not listen on {address.host}:{address.port}/tcp: {error.strerror}'
+            ) from error
+        self._link.subscribe('configuration_news', self._on_news)
+        self._link.listen(self._on_sender)
+
+    async def stop(self) -> None:
+        """End a pull under way and stop listening."""
+        if self._pull is not None:
+            self._pull.cancel()
+            await asyncio.gather(self._pull, return_exceptions=True)
+        self._server.close()
+        await self._server.wait_closed()
+
+    def _on_change(self, before: Configuration, change: Change | None) -> None:
+        if change is None:
+            self._history.clear()
+            self._newest = b''
+            return
+        self._newest = self._history.add(change)
+
+    def _tell_peers(self, configuration: Configuration) -> None:
+        """Tell a few peers of the version that came into force."""
+        self._link.configuration_version = configuration.version
+        news = peer_pb2.ConfigurationNews(version=configuration.version)
+        if len(self._newest) <= MAX_NEWS_BYTES:
+            news.change = self._newest
+        addresses = self._addresses()
+        own = self._link.ordinal if self._link.ordinal is not None else -1
+        for ordinal in receivers_of(configuration.version, own, list(addresses)):
+            try:
+                self._link.send(addresses[ordinal], news)
+            except PeerMessageError as error:
+                logger.debug('news were not sent: {}', error)
+
+    def _on_news(self, received: Received) -> None:
+        news: peer_pb2.ConfigurationNews = received.body
+        if news.version != self._follower.current.version + 1 or not news.change:
+            return
+        change = _parse(news.change)
+        if change is not None and change.version == news.version:
+            self._pulls.labels(result='news').inc()
+            self._follower.apply([change])
+
+    def _on_sender(self, sender: Sender) -> None:
+        if sender.configuration_version <= self._follower.current.version:
+            return
+        if self._pull is None or self._pull.done():
+            version = sender.configuration_version
+            self._pull = asyncio.create_task(self._pull_from(sender.address, version))
+
+    async def _pull_from(self, address: Address, version: int) -> None:
+        """Wait a little for news, then fetch what is still missing."""
+        await asyncio.sleep(PULL_DELAY_SECONDS)
+        behind = self._follower.current.version
+        if behind >= version:
+            return
+        channel = Channel(address[0], address[1])
+        try:
+            async with asyncio.timeout(PULL_TIMEOUT_SECONDS):
+                changes = await self._fetch(channel, behind)
+        except (TimeoutError, OSError, GRPCError, StreamTerminatedError) as error:
+            self._pulls.labels(result='failed').inc()
+            logger.info('no configuration from the peer at {}: {}', address, error)
+            return
+        finally:
+            channel.close()
+        self._pulls.labels(result='ok' if changes else 'nothing').inc()
+        self._follower.apply(changes)
+        if not changes:
+            await self._follower.catch_up()
+            await asyncio.sleep(EMPTY_PULL_PAUSE_SECONDS)
+
+    async def _fetch(self, channel: Channel, version: int) -> list[Change]:
+        changes = []
+        metadata = {KEY_METADATA: self._key}
+        async with ConfigurationSyncStub(channel).Pull.open(
+            metadata=metadata
+        ) as stream:
+            await stream.send_message(sync_pb2.PullRequest(version=version), end=True)
+            async for reply in stream:
+                change = _parse(reply.change)
+                if change is None:
+                    break
+                changes.append(change)
+        return changes
+
+
+def _parse(content: bytes) -> Change | None:
+    try:
+        return Change.model_validate_json(content)
+    except ValidationError as error:
+        logger.error('unreadable change from a peer: {}', error)
+        return None
