--- /dev/null
+++ b/bench/configuration.py
@@ -0,0 +1,122 @@
+"""Cost of folding and spreading changes: ``python -m bench.configuration``."""
+
+import argparse
+import time
+from collections.abc import Callable
+
+from daisylift.decisions.configuration import (
+    Configuration,
+    apply_body,
+    apply_change,
+)
+from daisylift.decisions.spreading import receivers_of
+from daisylift.models import (
+    AdvanceShift,
+    Change,
+    ChangeBody,
+    Policy,
+    PutPolicy,
+    SetServerDrain,
+    StartShift,
+)
+
+SERVICES = 3
+REPEATS = 200
+NODES = (7, 128, 930)
+
+
+def policy_of(sites: int, servers_per_site: int) -> Policy:
+    """Return a policy with all services at all sites."""
+    domains = [{'name': f'site-{n}', 'region': f'r{n % 3}'} for n in range(sites)]
+    servers = [
+        {
+            'name': f'server-{site}-{number}',
+            'host': '10.0.0.1',
+            'port': 8000,
+            'failure_domain': f'site-{site}',
+            'slots': 8,
+            'connections': 300,
+        }
+        for site in range(sites)
+        for number in range(servers_per_site)
+    ]
+    return Policy.model_validate(
+        {
+            'failure_domains': domains,
+            'roster': [{'ordinal': 0, 'failure_domain': 'site-0'}],
+            'services': [
+                {'name': f'service-{n}', 'servers': servers} for n in range(SERVICES)
+            ],
+        }
+    )
+
+
+def measure(sites: int, servers_per_site: int) -> None:
+    """Print one line for each sort of change."""
+    put = PutPolicy(policy=policy_of(sites, servers_per_site))
+    before = apply_change(Configuration(), _change(1, put))
+    drain = SetServerDrain(service='service-0', server='server-0-0', draining=True)
+    start = StartShift(
+        shift='one', service='service-0', sources=('site-0',), destinations=('site-1',)
+    )
+    shifting = apply_body(before, start)
+    rows: list[tuple[str, Configuration, ChangeBody, int]] = [
+        ('put policy', Configuration(), put, 3),
+        ('server drain', before, drain, REPEATS),
+        ('shift start', before, start, REPEATS),
+        ('shift stage', shifting, AdvanceShift(shift='one', stage=1), REPEATS),
+    ]
+    for name, configuration, body, repeats in rows:
+        change = _change(configuration.version + 1, body)
+        size = len(change.model_dump_json())
+        fold = _microseconds(
+            lambda c=configuration, x=change: apply_change(c, x), repeats
+        )
+        print(
+            f'{sites:>5} {sites * servers_per_site * SERVICES:>8} {name:<13} '
+            f'{size:>10,} {fold:>10,.0f}'
+        )
+
+
+def measure_spread(nodes: int) -> None:
+    """Print how news spread when each node tells four, and nothing is lost."""
+    heard = {0}
+    newest = {0}
+    rounds = messages = 0
+    while newest:
+        told = set()
+        for own in newest:
+            others = [other for other in range(nodes) if other != own]
+            receivers = receivers_of(1, own, others)
+            messages += len(receivers)
+            told.update(receivers)
+        newest = told - heard
+        heard |= newest
+        rounds += bool(newest)
+    print(f'{nodes:>5} {rounds:>7} {len(heard) / nodes:>8.2%} {messages / nodes:>9.2f}')
+
+
+def main() -> None:
+    """Print the tables."""
+    argparse.ArgumentParser(description=__doc__).parse_args()
+    print('sites  servers change         bytes JSON    fold us')
+    for sites, servers_per_site in ((6, 3), (50, 10), (200, 10)):
+        measure(sites, servers_per_site)
+    print('nodes  rounds    heard  sent/node')
+    for nodes in NODES:
+        measure_spread(nodes)
+
+
+def _change(version: int, body: ChangeBody) -> Change:
+    return Change(version=version, operation_id=f'op-{version}', body=body)
+
+
+def _microseconds(work: Callable[[], object], repeats: int) -> float:
+    began = time.process_time()
+    for _ in range(repeats):
+        work()
+    return (time.process_time() - began) / repeats * 1e6
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/bench/shifts.py
@@ -0,0 +1,311 @@
+"""Largest share moved in a period under faults: ``python -m bench.shifts``.
+
+Seven nodes run the pure decisions against one log, every half second. With
+``--plot`` it prints, for one scenario, time and moved share as data for a plot.
+"""
+
+import argparse
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from daisylift.decisions.configuration import (
+    ChangeRefusedError,
+    Configuration,
+    apply_change,
+)
+from daisylift.decisions.limiter import CutLimiter
+from daisylift.decisions.shifts import (
+    Advance,
+    MoveLedger,
+    SiteLoad,
+    decide_advance,
+    spacing_seconds,
+    stage_points,
+)
+from daisylift.decisions.steering import POINTS, differing_points, points_at
+from daisylift.models import (
+    AdvanceShift,
+    Change,
+    ChangeBody,
+    ControlShift,
+    EvacuateRegion,
+    Policy,
+    PutPolicy,
+    StartShift,
+)
+
+NODES = 7
+TICK_SECONDS = 0.5
+RUN_SECONDS = 600.0
+SERVICE = 'till'
+SITES = {'a-1': 'a', 'a-2': 'a', 'b-1': 'b', 'b-2': 'b', 'c-1': 'c', 'c-2': 'c'}
+SHIFT_CAP = 0.1
+EVACUATION_CAP = 0.25
+
+
+class IdleLoads:
+    """All sites idle, all figures fresh."""
+
+    def load_of(self, service: str, site: str) -> SiteLoad:
+        """Return an idle site's load."""
+        return SiteLoad(used_slots=0, slots=40, age_seconds=0.0)
+
+
+@dataclass
+class Node:
+    """One node's state; ``lag_seconds`` is how late it follows."""
+
+    configuration: Configuration = field(default_factory=Configuration)
+    limiter: CutLimiter = field(default_factory=CutLimiter)
+    ledger: MoveLedger = field(default_factory=MoveLedger)
+    lag_seconds: float = 0.0
+    is_cut: bool = False
+    steered_version: int = 0
+
+
+class Fleet:
+    """The nodes, the log and the moves of every node."""
+
+    def __init__(self, seed: int) -> None:
+        self.choice = random.Random(seed)
+        self.now = 0.0
+        self.log: list[tuple[float, Change]] = []
+        self.newest = Configuration()
+        self.nodes = [Node() for _ in range(NODES)]
+        self.moves: list[tuple[float, dict[str, int]]] = []
+        self.samples: list[tuple[float, float]] = []
+        self.store_down = False
+        self.write(PutPolicy(policy=_policy()))
+
+    def write(self, body: ChangeBody) -> None:
+        """Put a change into the log, if it fits."""
+        version = len(self.log) + 1
+        change = Change(version=version, operation_id=f'op-{version}', body=body)
+        try:
+            self.newest = apply_change(self.newest, change)
+        except ChangeRefusedError:
+            return
+        self.log.append((self.now, change))
+
+    def tick(self) -> None:
+        """Let half a second pass."""
+        self.now += TICK_SECONDS
+        for node in self.nodes:
+            if not node.is_cut and not self.store_down:
+                self._follow(node)
+            self._step(node)
+        lowest = min(node.steered_version for node in self.nodes)
+        deciders = [node for node in self.nodes if not node.is_cut]
+        for node in self.choice.sample(deciders, min(3, len(deciders))):
+            node.ledger.confirm(lowest, self.now)
+            self._decide(node)
+        self.samples.append((self.now, self.moved_share()))
+
+    def restart(self, number: int) -> None:
+        """Start a node anew from the log; its jump counts as a move."""
+        before = self.nodes[number]
+        node = Node(lag_seconds=before.lag_seconds)
+        self.nodes[number] = node
+        self._follow(node)
+        node.ledger.adopt([SERVICE], node.configuration.version, self.now)
+        node.limiter.step(node.configuration, self.now)
+        self._note(before.limiter, node)
+
+    def moved_share(self) -> float:
+        """Return the mean share of b-1's callers that are served elsewhere."""
+        cuts = [node.limiter.cut_of(SERVICE, 'b-1') for node in self.nodes]
+        return sum(1 - points_at(c, ['b-1']) / POINTS for c in cuts if c) / NODES
+
+    def largest_in_a_period(self) -> float:
+        """Return the largest share of a home site that moved within one spacing."""
+        spacing = spacing_seconds(self.newest.index.services_by_name[SERVICE])
+        largest = 0
+        for first, _ in self.moves:
+            window = [m for at, m in self.moves if first <= at < first + spacing]
+            for home in SITES:
+                largest = max(largest, sum(moved.get(home, 0) for moved in window))
+        return largest / NODES / POINTS
+
+    def _follow(self, node: Node) -> None:
+        for at, change in self.log[node.configuration.version :]:
+            if self.now - at < node.lag_seconds:
+                break
+            before = node.configuration
+            node.configuration = apply_change(before, change)
+            if not node.ledger.knows(SERVICE):
+                node.ledger.adopt([SERVICE], change.version, self.now)
+            if isinstance(change.body, AdvanceShift):
+                points = stage_points(before.shifts[change.body.shift])
+                node.ledger.note(SERVICE, points, change.version, self.now)
+
+    def _step(self, node: Node) -> None:
+        before = CutLimiter(cuts=dict(node.limiter.cuts))
+        if node.limiter.step(node.configuration, self.now):
+            node.steered_version = node.configuration.version
+        self._note(before, node)
+
+    def _note(self, before: CutLimiter, node: Node) -> None:
+        if SERVICE not in before.cuts or SERVICE not in node.limiter.cuts:
+            return
+        moved = {
+            home: differing_points(before.cuts[SERVICE][home], cut)
+            for home, cut in node.limiter.cuts[SERVICE].items()
+        }
+        if any(moved.values()):
+            self.moves.append((self.now, moved))
+
+    def _decide(self, node: Node) -> None:
+        current = node.configuration
+        active = [s for s in current.shifts.values() if s.is_active]
+        for shift in active:
+            if self.store_down or node.configuration.version != len(self.log):
+                return
+            decision = decide_advance(
+                shift,
+                [other for other in active if other is not shift],
+                current.index.services_by_name[SERVICE],
+                node.ledger,
+                IdleLoads(),
+                current.index.slots_by_site_by_service[SERVICE],
+                self.now,
+            )
+            if isinstance(decision, Advance):
+                self.write(AdvanceShift(shift=shift.name, stage=decision.stage))
+
+
+Script = Callable[[Fleet, int], None]
+
+
+def plain(fleet: Fleet, tick: int) -> None:
+    """Shift all of b-1 away."""
+    if tick == 10:
+        fleet.write(_shift('one', 'b-1', 'a-1'))
+
+
+def lagging(fleet: Fleet, tick: int) -> None:
+    """Do the same with nodes that follow up to 14 s late."""
+    plain(fleet, tick)
+    for number, node in enumerate(fleet.nodes):
+        node.lag_seconds = 2.0 * number
+
+
+def cut_and_back(fleet: Fleet, tick: int) -> None:
+    """Do the same with two nodes cut off for four minutes."""
+    plain(fleet, tick)
+    for node in fleet.nodes[:2]:
+        node.is_cut = 100 <= tick < 580
+
+
+def restarts(fleet: Fleet, tick: int) -> None:
+    """Do the same with lag, and a node restarted every 10 s."""
+    lagging(fleet, tick)
+    if tick > 20 and tick % 20 == 0:
+        fleet.restart(tick // 20 % NODES)
+
+
+def store_outages(fleet: Fleet, tick: int) -> None:
+    """Do the same with the store away every other half minute."""
+    plain(fleet, tick)
+    fleet.store_down = tick // 60 % 2 == 1
+
+
+def two_shifts(fleet: Fleet, tick: int) -> None:
+    """Two shifts from one site at once, one reversed midway."""
+    plain(fleet, tick)
+    if tick == 12:
+        fleet.write(_shift('two', 'b-1', 'c-1'))
+    if tick == 500:
+        fleet.write(ControlShift(shift='one', action='reverse'))
+
+
+def evacuation(fleet: Fleet, tick: int) -> None:
+    """Evacuate region b while a shift is under way."""
+    plain(fleet, tick)
+    if tick == 300:
+        fleet.write(EvacuateRegion(region='b'))
+
+
+def evacuation_with_cut(fleet: Fleet, tick: int) -> None:
+    """Do the same with two nodes cut off from before it until long after."""
+    evacuation(fleet, tick)
+    for node in fleet.nodes[:2]:
+        node.is_cut = 250 <= tick < 900
+
+
+SCENARIOS: dict[str, tuple[Script, float]] = {
+    'no faults': (plain, SHIFT_CAP),
+    'nodes lag up to 12 s': (lagging, SHIFT_CAP),
+    'two nodes cut off and back': (cut_and_back, SHIFT_CAP),
+    'lag and a restart every 10 s': (restarts, SHIFT_CAP),
+    'store away every other 30 s': (store_outages, SHIFT_CAP),
+    'two shifts at once, one reversed': (two_shifts, SHIFT_CAP),
+    'evacuation of a region': (evacuation, EVACUATION_CAP),
+    'evacuation, two nodes cut off': (evacuation_with_cut, EVACUATION_CAP),
+}
+
+
+def run(script: Script, seed: int = 7) -> Fleet:
+    """Play a scenario through."""
+    fleet = Fleet(seed)
+    for tick in range(int(RUN_SECONDS / TICK_SECONDS)):
+        script(fleet, tick)
+        fleet.tick()
+    return fleet
+
+
+def main() -> None:
+    """Print the table, or the data of one scenario."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--plot', choices=list(SCENARIOS), help='print time, share')
+    plot = parser.parse_args().plot
+    if plot:
+        for at, share in run(SCENARIOS[plot][0]).samples[::4]:
+            print(f'{at:.1f} {share:.4f}')
+        return
+    print(f'{"scenario":<34} {"cap":>6} {"most moved":>11} {"stages":>7} {"at end":>7}')
+    for name, (script, cap) in SCENARIOS.items():
+        fleet = run(script)
+        stages = sum(isinstance(c.body, AdvanceShift) for _, c in fleet.log)
+        print(
+            f'{name:<34} {cap:>6.1%} {fleet.largest_in_a_period():>11.2%} '
+            f'{stages:>7} {fleet.moved_share():>7.1%}'
+        )
+
+
+def _shift(name: str, source: str, destination: str) -> StartShift:
+    return StartShift(
+        shift=name, service=SERVICE, sources=(source,), destinations=(destination,)
+    )
+
+
+def _policy() -> Policy:
+    servers = [
+        {
+            'name': f'till-{site}',
+            'host': '10.0.0.1',
+            'port': 8000,
+            'failure_domain': site,
+            'slots': 40,
+            'connections': 100,
+        }
+        for site in SITES
+    ]
+    return Policy.model_validate(
+        {
+            'failure_domains': [{'name': s, 'region': r} for s, r in SITES.items()],
+            'roster': [{'ordinal': n, 'failure_domain': 'a-1'} for n in range(NODES)],
+            'services': [
+                {
+                    'name': SERVICE,
+                    'servers': servers,
+                    'shift_cap': SHIFT_CAP,
+                }
+            ],
+            'evacuation_cap': EVACUATION_CAP,
+        }
+    )
+
+
+if __name__ == '__main__':
+    main()
