Load client blocks into pages of the platform, and follow them

Cause: the table of blocks could be folded but nothing wrote or fetched its pages, so all callers were unknown callers.

An operator streams blocks to any node; it stores the changed pages under the digest of their content and then writes one change that names them. Nodes fetch what changed, check the digests and take the pages in as a whole.

Ruled out: pages inside the change, which would make each change of a block a 33 KB entry of the log that every later start has to read.

Before: blocks load did not exist.

--- a/packages/daisylift-admin/src/daisylift_admin/cli/definition.py
+++ b/packages/daisylift-admin/src/daisylift_admin/cli/definition.py
@@ -23,6 +23,8 @@
                                      FROM (comma-separated) to sites TO, in stages.
   shift abort|resume|reverse SHIFT   Stop it where it stands, go on, or take it back.
   shift show                         Show the shifts and where they stand.
+  blocks load FILE                   Set home sites; lines of BLOCK SITE, where BLOCK
+                                     is CIDR or START-END; at most 20,000 lines.
   status                             Show the members that the node knows.
 
 The shared key is read from the variable {KEY_VARIABLE}.
--- a/packages/daisylift-admin/src/daisylift_admin/client.py
+++ b/packages/daisylift-admin/src/daisylift_admin/client.py
@@ -76,6 +76,10 @@
         """Start to move all traffic out of a lost region."""
         return await self._call(self._stub.EvacuateRegion, request)
 
+    async def load_blocks(self, requests: list[pb.LoadBlocksRequest]) -> pb.ChangeReply:
+        """Load client blocks, in as many messages as are given."""
+        return await self._call(self._stub.LoadBlocks, requests)
+
     async def get_shifts(self) -> pb.GetShiftsReply:
         """Return the shifts and where they stand."""
         return await self._call(self._stub.GetShifts, pb.GetShiftsRequest())
--- a/packages/daisylift-admin/src/daisylift_admin/commands.py
+++ b/packages/daisylift-admin/src/daisylift_admin/commands.py
@@ -14,6 +14,8 @@
 from daisylift_admin.errors import AdminError
 from daisylift_admin.status import ExitStatus
 
+BLOCKS_PER_MESSAGE = 1000
+
 SHIFT_ACTIONS = {
     'abort': pb.SHIFT_ACTION_ABORT,
     'resume': pb.SHIFT_ACTION_RESUME,
@@ -115,6 +117,15 @@
     return None
 
 
+async def _blocks(
+    words: list[str], client: OperatorClient, options: ChangeOptions
+) -> Message | None:
+    match words:
+        case ['load', file]:
+            return await _load_blocks(Path(file), client, options)
+    return None
+
+
 async def _status(
     words: list[str], client: OperatorClient, _: ChangeOptions
 ) -> Message | None:
@@ -128,6 +139,7 @@
     'domain': _domain,
     'region': _region,
     'shift': _shift,
+    'blocks': _blocks,
     'status': _status,
 }
 
@@ -190,6 +202,37 @@
     return await _submit(client, options, client.set_server_drain, request)
 
 
+async def _load_blocks(
+    file: Path, client: OperatorClient, options: ChangeOptions
+) -> pb.ChangeReply:
+    blocks = _read_blocks(file)
+    requests = [
+        pb.LoadBlocksRequest(blocks=blocks[first : first + BLOCKS_PER_MESSAGE])
+        for first in range(0, len(blocks), BLOCKS_PER_MESSAGE)
+    ]
+    requests[0].header.CopyFrom(await _header(client, options))
+    return _accepted(await client.load_blocks(requests))
+
+
+def _read_blocks(file: Path) -> list[pb.ClientBlock]:
+    """Read lines of a block and its home site."""
+    try:
+        lines = file.read_text(encoding='utf-8').splitlines()
+    except OSError as error:
+        raise AdminError(f'{file}: {error.strerror}', ExitStatus.USAGE) from error
+    blocks = []
+    for number, line in enumerate(lines, start=1):
+        words = line.split()
+        if len(words) != 2:
+            raise AdminError(
+                f'{file}: line {number} is not BLOCK SITE', ExitStatus.INVALID
+            )
+        blocks.append(pb.ClientBlock(block=words[0], home=words[1]))
+    if not blocks:
+        raise AdminError(f'{file}: there are no blocks', ExitStatus.INVALID)
+    return blocks
+
+
 def _read_policy(file: Path) -> pb.Policy:
     try:
         return ParseDict(json.loads(file.read_text(encoding='utf-8')), pb.Policy())
--- a/packages/daisylift-node/src/daisylift_node/process/application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/application.py
@@ -45,6 +45,8 @@
 from daisylift_node.request.lookup import LookupHandler
 from daisylift_node.request.relay import RelayHandler
 from daisylift_node.request.request_ids import RequestIdIssuer
+from daisylift_node.version.block_loader import BlockLoader
+from daisylift_node.version.block_store import BlockStore
 from daisylift_node.version.change_writer import ChangeWriter
 from daisylift_node.version.configuration import ConfigurationFollower
 from daisylift_node.version.confirmation import (
@@ -107,6 +109,7 @@
             writer=self.writer,
             permits=self.permits,
         )
+        self.blocks = BlockStore(self.platform, self.steering.set_blocks)
         self.links = LinkPacer(settings.vm.failure_domain, clock.now, self.metrics)
         self.notices = Notices(self.peers, self._peer_addresses, self.metrics)
         self.health = HealthBook(self.notices.announce_drain, clock.now)
@@ -208,6 +211,7 @@
             self.membership,
             self.confirmation,
             self.sync,
+            self.blocks,
             self.connections,
             self.peer_connections,
             self.follower,
@@ -295,6 +299,7 @@
         self.permits.set_configuration(configuration)
         self.lending.set_configuration(configuration)
         self.steering.set_configuration(configuration)
+        self.blocks.set_configuration(configuration)
         self.health.set_configuration(configuration, clock.now())
         self.admission.set_configuration(configuration)
         self.relay.set_configuration(configuration)
@@ -350,6 +355,7 @@
             writer=self.writer,
             permits=self.permits,
             shifts=self.shifts,
+            blocks=BlockLoader(self.blocks, self.writer),
         )
         self._operator_server = Server([service])
         try:
--- a/packages/daisylift-node/src/daisylift_node/process/operator.py
+++ b/packages/daisylift-node/src/daisylift_node/process/operator.py
@@ -30,6 +30,7 @@
     malformed_reply,
     shift_status,
 )
+from daisylift_node.version.block_loader import MAX_BLOCKS_PER_CALL, BlockLoader
 from daisylift_node.version.change_writer import ChangeWriter
 from daisylift_node.version.configuration import ConfigurationFollower
 from daisylift_node.version.shift_driver import ShiftDriver
@@ -62,6 +63,7 @@
         writer: ChangeWriter,
         permits: PermitPool,
         shifts: ShiftDriver,
+        blocks: BlockLoader,
     ) -> None:
         self._permits = permits
         self._vm = vm
@@ -70,6 +72,7 @@
         self._members = members
         self._writer = writer
         self._shifts = shifts
+        self._blocks = blocks
 
     async def PutPolicy(self, stream: Stream) -> None:  # noqa: N802
         """Replace the policy."""
@@ -125,7 +128,32 @@
 
     async def LoadBlocks(self, stream: Stream) -> None:  # noqa: N802
         """Load client blocks."""
-        raise GRPCError(Status.UNIMPLEMENTED, 'blocks can not be loaded yet')
+        require_key(stream.metadata, self._key)
+        first = None
+        blocks: list[tuple[str, str]] = []
+        async for message in stream:
+            first = first or message
+            blocks.extend((block.block, block.home) for block in message.blocks)
+            if len(blocks) > MAX_BLOCKS_PER_CALL:
+                raise GRPCError(
+                    Status.RESOURCE_EXHAUSTED,
+                    f'more than {MAX_BLOCKS_PER_CALL} blocks in one call',
+                )
+        if first is None:
+            raise GRPCError(Status.INVALID_ARGUMENT, 'the request is empty')
+        try:
+            outcome = await self._blocks.load(
+                self._follower.current,
+                blocks,
+                first.header.base_version,
+                first.header.operation_id,
+                first.header.operator,
+                replace_all=first.replace_all,
+            )
+        except ValidationError as error:
+            await stream.send_message(malformed_reply(error))
+            return
+        await stream.send_message(change_reply(outcome))
 
     async def GetShifts(self, stream: Stream) -> None:  # noqa: N802
         """Return the shifts and why those that wait do so."""
--- /dev/null
+++ b/packages/daisylift-node/src/daisylift_node/version/block_loader.py
@@ -0,0 +1,67 @@
+"""Loads client blocks for an operator: checks them, stores pages, names them."""
+
+from collections.abc import Iterable
+
+from daisylift.decisions.blocks import BlockError, BlockRange, merged_pages, parse_range
+from daisylift.decisions.configuration import ChangeProblem, Configuration
+from daisylift.models import Change, SetBlockPages
+from daisylift_node.version.block_store import BlockStore
+from daisylift_node.version.change_writer import (
+    ChangeOutcome,
+    ChangeWriter,
+    NotConfirmed,
+    Refused,
+)
+
+MAX_BLOCKS_PER_CALL = 20_000
+
+NamedBlock = tuple[str, str]
+
+
+class BlockLoader:
+    """Turns blocks with home sites into one change of pages."""
+
+    def __init__(self, store: BlockStore, writer: ChangeWriter) -> None:
+        self._store = store
+        self._writer = writer
+
+    async def load(
+        self,
+        configuration: Configuration,
+        blocks: Iterable[NamedBlock],
+        base_version: int,
+        operation_id: str,
+        operator: str,
+        *,
+        replace_all: bool,
+    ) -> ChangeOutcome:
+        """Put the blocks, each a text and its home site, into force."""
+        if not self._store.is_loaded:
+            return NotConfirmed('the table of blocks is still being read', False)
+        sites = {site: n for n, site in enumerate(configuration.blocks.sites)}
+        try:
+            ranges = [_range(block, home, sites) for block, home in blocks]
+            pages = merged_pages(self._store.table, ranges, replace_all=replace_all)
+        except BlockError as error:
+            return Refused(ChangeProblem.MALFORMED, (str(error),))
+        if not pages:
+            return Refused(ChangeProblem.MALFORMED, ('the blocks change nothing',))
+        digests: dict[str, str | None] = {}
+        for name, page in pages.items():
+            digests[name] = None if page is None else await self._store.write(page)
+            if page is not None and digests[name] is None:
+                return NotConfirmed('a page of blocks was not stored', False)
+        body = SetBlockPages(sites=tuple(sites), pages=digests)
+        return await self._writer.submit(
+            Change(
+                version=base_version + 1,
+                operation_id=operation_id,
+                operator=operator,
+                body=body,
+            )
+        )
+
+
+def _range(block: str, home: str, number_by_site: dict[str, int]) -> BlockRange:
+    number = number_by_site.setdefault(home, len(number_by_site))
+    return parse_range(block, number)
--- /dev/null
+++ b/packages/daisylift-node/src/daisylift_node/version/block_store.py
@@ -0,0 +1,111 @@
+"""Pages of client blocks in the platform, named by the digest of their content."""
+
+import asyncio
+import base64
+import binascii
+from collections.abc import Callable
+
+import xxhash
+from loguru import logger
+from returns.result import Failure, Success
+
+from daisylift.decisions.blocks import (
+    EMPTY_TABLE,
+    BlockError,
+    BlockTable,
+    Page,
+    decode_page,
+    encode_page,
+)
+from daisylift.decisions.configuration import Configuration
+from daisylift_node.process.platform import Conflict, PlatformClient, Uncertain
+
+KIND = 'block-pages'
+PAGES_AT_ONCE = 4
+RETRY_SECONDS = 2.0
+
+TableListener = Callable[[BlockTable], None]
+
+
+class BlockStore:
+    """Brings the table of blocks to the pages that the configuration names.
+
+    Look-ups go on with the former table until all changed pages are there.
+    """
+
+    def __init__(self, platform: PlatformClient, listener: TableListener) -> None:
+        self.table = EMPTY_TABLE
+        self._platform = platform
+        self._listener = listener
+        self._wanted: dict[str, str] = {}
+        self._loaded: dict[str, str] = {}
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def is_loaded(self) -> bool:
+        """Say whether the table has all pages of the configuration."""
+        return self._wanted == self._loaded
+
+    async def start(self) -> None:
+        """Do nothing; pages are fetched as configurations come into force."""
+
+    async def stop(self) -> None:
+        """End a fetch under way."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def set_configuration(self, configuration: Configuration) -> None:
+        """Want the pages that the configuration names."""
+        self._wanted = dict(configuration.blocks.digest_by_start)
+        if not self.is_loaded and (self._task is None or self._task.done()):
+            self._task = asyncio.create_task(self._load())
+
+    async def write(self, page: Page) -> str | None:
+        """Store a page and return its digest, or None when that is not confirmed."""
+        content = encode_page(page)
+        digest = xxhash.xxh3_128_hexdigest(content)
+        value = {'content': base64.b64encode(content).decode()}
+        match await self._platform.create(KIND, digest, value):
+            case Success() | Failure(Conflict()):
+                return digest
+            case Failure(Uncertain()):
+                found = await self._platform.get(KIND, digest)
+                return digest if isinstance(found, Success) else None
+        return None
+
+    async def _load(self) -> None:
+        while not self.is_loaded:
+            if not await self._load_wanted():
+                await asyncio.sleep(RETRY_SECONDS)
+
+    async def _load_wanted(self) -> bool:
+        """Fetch what changed and take it in as a whole; say if all was there."""
+        wanted = dict(self._wanted)
+        changed = [
+            name for name, digest in wanted.items() if self._loaded.get(name) != digest
+        ]
+        pages: dict[str, Page | None] = dict.fromkeys(self._loaded.keys() - wanted)
+        for first in range(0, len(changed), PAGES_AT_ONCE):
+            names = changed[first : first + PAGES_AT_ONCE]
+            found = await asyncio.gather(*(self._fetch(wanted[n]) for n in names))
+            if None in found:
+                return False
+            pages.update(zip(names, found, strict=True))
+        self.table = self.table.with_pages(pages)
+        self._loaded = wanted
+        self._listener(self.table)
+        return True
+
+    async def _fetch(self, digest: str) -> Page | None:
+        result = await self._platform.get(KIND, digest)
+        if not isinstance(result, Success):
+            return None
+        try:
+            content = base64.b64decode(result.unwrap().value['content'], validate=True)
+            if xxhash.xxh3_128_hexdigest(content) != digest:
+                raise BlockError('the content does not fit its digest')
+            return decode_page(content)
+        except (BlockError, binascii.Error, KeyError, TypeError) as error:
+            logger.error('unreadable page of blocks {}: {}', digest, error)
+            return None
--- a/packages/daisylift-node/src/daisylift_node/version/peer_sync.py
+++ b/packages/daisylift-node/src/daisylift_node/version/peer_sync.py
@@ -61,10 +61,6 @@
         for content in self.after(request.version if request else 0):
             await stream.send_message(sync_pb2.PullReply(change=content))
 
-    async def GetParts(self, stream: Stream) -> None:  # noqa: N802
-        """Send no parts; this node keeps none."""
-        require_key(stream.metadata, self._key)
-
 
 class PeerSync:
     """Tells peers of new versions and fetches from them what this node lacks."""
--- a/packages/daisylift/src/daisylift/schema/sync_grpc.py
+++ b/packages/daisylift/src/daisylift/schema/sync_grpc.py
@@ -18,10 +18,6 @@
     async def Pull(self, stream: 'grpclib.server.Stream[daisylift.schema.sync_pb2.PullRequest, daisylift.schema.sync_pb2.PullReply]') -> None:
         pass
 
-    @abc.abstractmethod
-    async def GetParts(self, stream: 'grpclib.server.Stream[daisylift.schema.sync_pb2.GetPartsRequest, daisylift.schema.sync_pb2.Part]') -> None:
-        pass
-
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/daisylift.sync.ConfigurationSync/Pull': grpclib.const.Handler(
@@ -30,12 +26,6 @@
                 daisylift.schema.sync_pb2.PullRequest,
                 daisylift.schema.sync_pb2.PullReply,
             ),
-            '/daisylift.sync.ConfigurationSync/GetParts': grpclib.const.Handler(
-                self.GetParts,
-                grpclib.const.Cardinality.UNARY_STREAM,
-                daisylift.schema.sync_pb2.GetPartsRequest,
-                daisylift.schema.sync_pb2.Part,
-            ),
         }
 
 
@@ -48,9 +38,3 @@
             daisylift.schema.sync_pb2.PullRequest,
             daisylift.schema.sync_pb2.PullReply,
         )
-        self.GetParts = grpclib.client.UnaryStreamMethod(
-            channel,
-            '/daisylift.sync.ConfigurationSync/GetParts',
-            daisylift.schema.sync_pb2.GetPartsRequest,
-            daisylift.schema.sync_pb2.Part,
-        )
