Leave a grant to an earlier process alone, and measure slot shares

A number of a request could also be the same as one of the predecessor's.

Ruled out: giving back only under the same incarnation in the grant, as that adds a field to every message where a number drawn at the start does.

A permit also refuses, on a borrowed slot, a request that is given more time than the lender counts on. bench/shares.py drives the decisions with a model.

--- /dev/null
+++ b/bench/shares.py
@@ -0,0 +1,389 @@
+"""Slot shares under load: static shares, lending and forwarding, by a queueing model.
+
+The decisions are the product's own; requests, peers' messages and faults are events
+of a model in virtual time. Run it with ``python -m bench.shares [--seconds S]``.
+"""
+
+import argparse
+import heapq
+import json
+import random
+import time
+import tracemalloc
+from collections import deque
+from dataclasses import dataclass, field
+from itertools import count
+from pathlib import Path
+
+from daisylift.decisions.apportion import Apportioner
+from daisylift.decisions.configuration import Configuration, ServerKey, apply_change
+from daisylift.decisions.leases import LEASE_TERM_SECONDS, Borrower, Lender
+from daisylift.decisions.lending import (
+    MAX_SLOTS_PER_ASK,
+    Demand,
+    IdleBook,
+    peers_to_tell,
+    slots_to_ask,
+    slots_to_return,
+    slots_to_spare,
+)
+from daisylift.decisions.permit import Permit
+from daisylift.decisions.permits import PermitLedger
+from daisylift.models import (
+    BackendServer,
+    Change,
+    FailureDomain,
+    Policy,
+    PutPolicy,
+    RosterEntry,
+    Service,
+)
+
+EXAMPLE = Path(__file__).resolve().parents[1] / 'examples' / 'kanga' / 'policy.json'
+SERVICE = 'catalogue'
+WORK_SECONDS = 0.020
+WAIT_SECONDS = 0.2
+PEER_SECONDS = 0.020
+TURN_SECONDS = 0.25
+TURNS_PER_REPORT = 4
+WARM_UP_SECONDS = 2.0
+COST_SIZES = ((7, 16, 3), (32, 40, 10), (128, 100, 10), (930, 300, 12))
+MODES = ('static', 'lending', 'forwarding', 'both')
+
+
+@dataclass(slots=True)
+class Request:
+    """One request of the model."""
+
+    arrived: float
+    is_forwarded: bool = False
+
+
+@dataclass(slots=True)
+class Node:
+    """One node: the product's decisions, and a queue."""
+
+    ordinal: int
+    ledger: PermitLedger
+    lender: Lender
+    borrower: Borrower
+    demand: Demand = field(default_factory=Demand)
+    idle: IdleBook = field(default_factory=IdleBook)
+    queue: deque[Request] = field(default_factory=deque)
+    is_dead: bool = False
+    is_frozen: bool = False
+    is_cut_off: bool = False
+
+
+@dataclass(slots=True)
+class Result:
+    """What came of the requests after the warm-up."""
+
+    latencies: list[float] = field(default_factory=list)
+    refused: int = 0
+    overruns: int = 0
+    messages: int = 0
+
+    def row(self) -> str:
+        """Return served share, p99, overruns and messages between nodes, as text."""
+        total = len(self.latencies) + self.refused
+        ordered = sorted(self.latencies)
+        p99 = ordered[int(len(ordered) * 0.99)] * 1000 if ordered else 0.0
+        served = 100 * len(ordered) / max(1, total)
+        return f'{served:6.2f}% {p99:4.0f} ms {self.overruns:2d} {self.messages:6d}'
+
+
+class Model:
+    """The fleet in virtual time."""
+
+    def __init__(self, mode: str, load: float, hot: bool, fault: str) -> None:
+        self.mode = mode
+        self.random = random.Random(7)
+        self.now = 0.0
+        self.result = Result()
+        self._events: list[tuple[float, int, object, tuple]] = []
+        self._numbers = count()
+        self._running: set[tuple[ServerKey, int]] = set()
+        configuration = kanga_configuration()
+        (service,) = configuration.policy.services
+        self.servers = [ServerKey(SERVICE, server.name) for server in service.servers]
+        slots = sum(server.slots for server in service.servers)
+        self.nodes = [self._node(n, configuration) for n in range(7)]
+        weights = [4.0 if hot and n == 0 else 1.0 for n in range(7)]
+        rate = load * slots / WORK_SECONDS
+        self._rates = [rate * weight / sum(weights) for weight in weights]
+        self._break(fault)
+
+    def run(self, seconds: float) -> Result:
+        """Run the model, and return what came of it."""
+        for node in self.nodes:
+            self._later(0.0, self._arrive, node)
+            self._later(self.random.random() * TURN_SECONDS, self._turn, node, 0)
+        while self._events and self._events[0][0] < seconds:
+            self.now, _, step, arguments = heapq.heappop(self._events)
+            step(*arguments)
+        return self.result
+
+    def _node(self, ordinal: int, configuration: Configuration) -> Node:
+        ledger = PermitLedger()
+        ledger.set_configuration(configuration, 0.0)
+        ledger.set_ordinal(ordinal, 0)
+        lender = Lender(ledger, f'{ordinal:016x}')
+        return Node(ordinal, ledger, lender, Borrower(ledger))
+
+    def _break(self, fault: str) -> None:
+        node = self.nodes[3]
+        node.is_dead = fault == 'dead'
+        node.is_frozen = fault == 'frozen'
+        node.is_cut_off = fault == 'cut off'
+        if fault in ('dead', 'frozen'):
+            moved = self._rates[3] / 6
+            self._rates = [rate + moved for rate in self._rates]
+            self._rates[3] = 0.0
+
+    def _later(self, seconds: float, step, *arguments) -> None:
+        entry = (self.now + seconds, next(self._numbers), step, arguments)
+        heapq.heappush(self._events, entry)
+
+    def _arrive(self, node: Node) -> None:
+        rate = self._rates[node.ordinal]
+        if rate <= 0.0:
+            return
+        self._later(self.random.expovariate(rate), self._arrive, node)
+        self._admit(node, Request(self.now))
+
+    def _admit(self, node: Node, request: Request) -> None:
+        if not node.queue and self._start(node, request):
+            return
+        peer = None
+        if self.mode in ('forwarding', 'both') and not request.is_forwarded:
+            peer = self._idle_peer(node)
+        if peer is not None:
+            request.is_forwarded = True
+            self._later(PEER_SECONDS, self._admit, peer, request)
+            return
+        node.queue.append(request)
+        left = max(0.0, request.arrived + WAIT_SECONDS - self.now)
+        self._later(left, self._give_up, node, request)
+
+    def _idle_peer(self, node: Node) -> Node | None:
+        if node.is_cut_off:
+            return None
+        distances = dict.fromkeys(range(7), 0)
+        lenders = node.idle.choose_lenders(SERVICE, 1, distances, self.now)
+        return self.nodes[lenders[0][0]] if lenders else None
+
+    def _give_up(self, node: Node, request: Request) -> None:
+        if request in node.queue:
+            node.queue.remove(request)
+            if request.arrived > WARM_UP_SECONDS:
+                self.result.refused += 1
+
+    def _start(self, node: Node, request: Request) -> bool:
+        start = self.random.randrange(len(self.servers))
+        for server in self.servers[start:] + self.servers[:start]:
+            permit = node.ledger.take(server, self.now)
+            if permit is not None and permit.may_start(self.now):
+                self._dispatch(node, request, permit)
+                return True
+        return False
+
+    def _dispatch(self, node: Node, request: Request, permit: Permit) -> None:
+        slot = permit.server, permit.slot
+        self.result.overruns += slot in self._running
+        self._running.add(slot)
+        work = self.random.expovariate(1 / WORK_SECONDS)
+        self._later(work, self._finish, node, request, permit)
+
+    def _finish(self, node: Node, request: Request, permit: Permit) -> None:
+        self._running.discard((permit.server, permit.slot))
+        node.ledger.release(permit, self.now)
+        if request.arrived > WARM_UP_SECONDS:
+            back = PEER_SECONDS if request.is_forwarded else 0.0
+            self.result.latencies.append(self.now + back - request.arrived)
+        self._serve(node)
+
+    def _serve(self, node: Node) -> None:
+        while node.queue and self._start(node, node.queue[0]):
+            node.queue.popleft()
+
+    def _turn(self, node: Node, turn: int) -> None:
+        self._later(TURN_SECONDS, self._turn, node, turn + 1)
+        if node.is_dead or node.is_frozen:
+            return
+        node.lender.expire(self.now)
+        used, held = node.ledger.usage(SERVICE, self.now)
+        node.demand.observe(used + len(node.queue), self.now)
+        if node.is_cut_off or self.mode == 'static':
+            return
+        if turn % TURNS_PER_REPORT == 0 or self.mode == 'forwarding':
+            self._report(node, turn)
+        if self.mode in ('lending', 'both'):
+            self._give_back(node, held)
+            self._borrow(node)
+
+    def _spare(self, node: Node) -> int:
+        used, held = node.ledger.usage(SERVICE, self.now)
+        own = sum(m.bit_count() for _, m in node.ledger.idle_masks(SERVICE, self.now))
+        return min(own, slots_to_spare(node.demand, used, held - used))
+
+    def _report(self, node: Node, turn: int) -> None:
+        spare = self._spare(node)
+        for ordinal in peers_to_tell(range(7), node.ordinal, turn, 3):
+            self.result.messages += 1
+            self.nodes[ordinal].idle.note(node.ordinal, SERVICE, spare, self.now)
+
+    def _borrow(self, node: Node) -> None:
+        _, held = node.ledger.usage(SERVICE, self.now)
+        wanted = slots_to_ask(node.demand, held, len(node.queue))
+        distances = dict.fromkeys(range(7), 0)
+        for lender, slots in node.idle.choose_lenders(
+            SERVICE, wanted, distances, self.now
+        ):
+            ask = node.borrower.ask(lender, SERVICE, slots, self.now)
+            self._later(PEER_SECONDS, self._lend, node, self.nodes[lender], ask)
+
+    def _lend(self, node: Node, lender: Node, ask) -> None:
+        self.result.messages += 2
+        if lender.is_dead or lender.is_frozen or lender.is_cut_off:
+            return
+        spare = min(MAX_SLOTS_PER_ASK, self._spare(lender))
+        grant = lender.lender.grant(ask, self.now, spare)
+        node.idle.note(lender.ordinal, SERVICE, self._spare(lender), self.now)
+        if grant is not None:
+            self._later(PEER_SECONDS, self._accept, node, grant)
+
+    def _accept(self, node: Node, grant) -> None:
+        node.borrower.accept(grant, self.now)
+        self._serve(node)
+
+    def _give_back(self, node: Node, held: int) -> None:
+        borrowed = list(node.ledger.borrowed(SERVICE))
+        free = sum(slots.free(self.now).bit_count() for slots in borrowed)
+        surplus = slots_to_return(node.demand, held, free)
+        for lease in dict.fromkeys(slots.lease for slots in borrowed):
+            until = min(s.valid_until for s in borrowed if s.lease == lease)
+            lender = self.nodes[lease.lender]
+            if until <= self.now or surplus > 0:
+                limit = None if until <= self.now else surplus
+                returned = node.borrower.give_back(lease, limit)
+                surplus -= sum(m.bit_count() for m in returned.masks.values())
+                self._later(PEER_SECONDS, self._take_back, lender, returned)
+            elif until < self.now + LEASE_TERM_SECONDS / 2:
+                ask = node.borrower.ask_to_renew(lease, self.now)
+                if ask is not None:
+                    self._later(PEER_SECONDS, self._lend, node, lender, ask)
+
+    def _take_back(self, lender: Node, returned) -> None:
+        self.result.messages += 1
+        if lender.lender.take_back(returned):
+            self._serve(lender)
+
+
+def kanga_configuration() -> Configuration:
+    """Return Kanga's example policy with its catalogue alone, at version 1."""
+    policy = Policy.model_validate(json.loads(EXAMPLE.read_text()))
+    services = tuple(s for s in policy.services if s.name == SERVICE)
+    return at_version_one(policy.model_copy(update={'services': services}))
+
+
+def at_version_one(policy: Policy) -> Configuration:
+    """Return the configuration that the policy makes as the first change."""
+    change = Change(version=1, operation_id='bench', body=PutPolicy(policy=policy))
+    return apply_change(Configuration(), change)
+
+
+def print_utility(seconds: float) -> None:
+    """Print served share, p99 and overruns, by load, arrivals and fault."""
+    print('load arrivals fault   ' + '  '.join(f'{mode:>27}' for mode in MODES))
+    cases = [(load, hot, 'none') for load in (0.7, 0.9, 1.1) for hot in (False, True)]
+    cases += [(0.9, False, fault) for fault in ('dead', 'frozen', 'cut off')]
+    cases += [(0.7, True, fault) for fault in ('dead', 'cut off')]
+    for load, hot, fault in cases:
+        cells = []
+        for mode in MODES:
+            result = Model(mode, load, hot, fault).run(seconds)
+            cells.append(result.row())
+        arrivals = 'one x4' if hot else 'even'
+        print(f'{load:4.0%} {arrivals:8} {fault:7} ' + '  '.join(cells), flush=True)
+
+
+def print_costs() -> None:
+    """Print time and memory of the apportionment, by ordinals and slots."""
+    print('ordinals  slots  full ms  one service ms  vacancy ms  moved  MB')
+    for size in COST_SIZES:
+        print(_costs(*size), flush=True)
+
+
+def _costs(ordinals: int, servers: int, services: int) -> str:
+    policy = _policy(ordinals, servers, services)
+    tracemalloc.start()
+    kept = Apportioner()
+    kept.apportion(policy, frozenset())
+    megabytes = tracemalloc.get_traced_memory()[0] / 1e6
+    tracemalloc.stop()
+    fresh = Apportioner()
+    full, before = _timed(lambda: fresh.apportion(policy, frozenset()))
+    vacancy, after = _timed(lambda: fresh.apportion(policy, frozenset({3})))
+    first = policy.services[0]
+    changed = first.model_copy(update={'servers': first.servers[1:]})
+    other = policy.model_copy(update={'services': (changed, *policy.services[1:])})
+    fresh.apportion(policy, frozenset())
+    one, _ = _timed(lambda: fresh.apportion(other, frozenset()))
+    slots = servers * services * 6
+    moved = sum(
+        a != b
+        for key, owners in before.owners_by_server.items()
+        for a, b in zip(owners, after.owners_by_server[key], strict=True)
+    )
+    times = f'{full * 1e3:8.1f} {one * 1e3:15.1f} {vacancy * 1e3:11.1f}'
+    return f'{ordinals:8d} {slots:6d} {times} {moved:6d} {megabytes:5.1f}'
+
+
+def _timed(work):
+    start = time.process_time()
+    result = work()
+    return time.process_time() - start, result
+
+
+def _policy(ordinals: int, servers: int, services: int) -> Policy:
+    domains = [f'd-{n}' for n in range(7)]
+    return Policy(
+        failure_domains=tuple(
+            FailureDomain(name=d, region=f'r-{n % 3}') for n, d in enumerate(domains)
+        ),
+        roster=tuple(
+            RosterEntry(ordinal=o, failure_domain=domains[o % 7])
+            for o in range(ordinals)
+        ),
+        services=tuple(
+            Service(
+                name=f's-{k}',
+                servers=tuple(
+                    BackendServer(
+                        name=f's-{k}-{n}',
+                        host='127.0.0.1',
+                        port=9000,
+                        failure_domain=domains[n % 7],
+                        slots=6,
+                        connections=330,
+                    )
+                    for n in range(servers)
+                ),
+            )
+            for k in range(services)
+        ),
+    )
+
+
+def main() -> None:
+    """Print both tables."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seconds', type=float, default=8.0, help='virtual time')
+    arguments = parser.parse_args()
+    print_costs()
+    print_utility(arguments.seconds)
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/daisylift-node/src/daisylift_node/process/permits.py
+++ b/packages/daisylift-node/src/daisylift_node/process/permits.py
@@ -1,5 +1,6 @@
 """The permits of this node: which slots of which backend servers it may use."""
 
+import secrets
 from collections.abc import Callable, Mapping
 
 from daisylift.decisions.configuration import Configuration, ServerKey
@@ -11,6 +12,8 @@
 
 __all__ = ['Permit', 'PermitPool']
 
+ASK_NUMBER_BITS = 62
+
 Clock = Callable[[], float]
 Listener = Callable[[], None]
 
@@ -21,7 +24,7 @@
     def __init__(self, incarnation: str = '', now: Clock = clock.now) -> None:
         self.ledger = PermitLedger()
         self.lender = Lender(self.ledger, incarnation)
-        self.borrower = Borrower(self.ledger)
+        self.borrower = Borrower(self.ledger, secrets.randbits(ASK_NUMBER_BITS))
         self.now = now
         self._is_held = False
         self._listeners: list[Listener] = []
--- a/packages/daisylift-node/src/daisylift_node/request/exchange.py
+++ b/packages/daisylift-node/src/daisylift_node/request/exchange.py
@@ -102,7 +102,8 @@
 
     def _may_start(self, call: Call, attempt: Attempt) -> bool:
         now = self.clock()
-        return not call.deadline.has_passed(now) and attempt.permit.may_start(now)
+        left = call.deadline.left(now)
+        return left > 0.0 and attempt.permit.may_start(now, left)
 
     def _note_timeout(self, call: Call, attempt: Attempt, started_at: float) -> None:
         """Count a timeout only when the server was given a fair share of time."""
--- a/packages/daisylift/src/daisylift/decisions/leases.py
+++ b/packages/daisylift/src/daisylift/decisions/leases.py
@@ -198,11 +198,15 @@
 
 
 class Borrower:
-    """Asks peers for slots, and uses them only within the term."""
+    """Asks peers for slots, and uses them only within the term.
 
-    def __init__(self, ledger: PermitLedger) -> None:
+    Requests are numbered from ``first_number`` on; a process that starts again must
+    not use the numbers of the one before it, whose grants may still be on their way.
+    """
+
+    def __init__(self, ledger: PermitLedger, first_number: int = 0) -> None:
         self._ledger = ledger
-        self._numbers = 0
+        self._numbers = first_number
         self._pending: dict[int, _PendingAsk] = {}
 
     def ask(self, lender: int, service: str, count: int, now: float) -> LeaseAsk:
@@ -219,11 +223,15 @@
         return self._note(ask, now)
 
     def accept(self, grant: LeaseGrant, now: float) -> LeaseReturn | None:
-        """Use what was granted; return what has to be given back at once."""
+        """Use what was granted; return what has to be given back at once.
+
+        A grant that this process did not ask for stays with the lender until its time
+        is over: a process that ran here before may have used it.
+        """
         pending = self._pending.pop(grant.ask, None)
         known = [s for s in self._ledger.borrowed() if s.lease == grant.lease]
         if pending is None:
-            return None if known else LeaseReturn(grant.lease, grant.masks)
+            return None
         valid_until = pending.asked_at + grant.term_seconds
         if pending.ask.renew is not None:
             _extend(known, grant, valid_until)
--- a/packages/daisylift/src/daisylift/decisions/lending.py
+++ b/packages/daisylift/src/daisylift/decisions/lending.py
@@ -4,44 +4,49 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-DEMAND_HALF_LIFE_SECONDS = 1.0
+DEMAND_HALF_LIFE_SECONDS = 0.5
+ASK_SPREAD = 0.5
+KEEP_SPREAD = 1.0
 IDLE_WORD_SECONDS = 2.5
-HEADROOM_SLOTS = 1
 MAX_SLOTS_PER_ASK = 12
 MAX_LENDERS_PER_ASK = 3
 
 
 @dataclass(slots=True)
 class Demand:
-    """Slots of one service that were wanted at once lately, a peak that decays."""
+    """Slots of one service that were wanted at once lately, a mean that forgets."""
 
-    peak: float = 0.0
+    mean: float = 0.0
     at: float = 0.0
 
     def observe(self, wanted: int, now: float) -> None:
         """Take in how many requests run or wait now."""
-        decay = 0.5 ** (max(0.0, now - self.at) / DEMAND_HALF_LIFE_SECONDS)
-        self.peak = max(float(wanted), self.peak * decay)
+        kept = 0.5 ** (max(0.0, now - self.at) / DEMAND_HALF_LIFE_SECONDS)
+        self.mean = kept * self.mean + (1 - kept) * wanted
         self.at = now
 
+    def target(self, spread: float) -> int:
+        """Return how many slots serve the demand and so much of its spread."""
+        return math.ceil(self.mean + spread * math.sqrt(self.mean))
+
 
 def slots_to_ask(demand: Demand, held: int, waiting: int) -> int:
-    """Return how many slots to borrow, beyond those held; 0 while enough are idle."""
-    if not waiting and demand.peak < held:
-        return 0
-    wanted = math.ceil(demand.peak) + HEADROOM_SLOTS - held
+    """Return how many slots to borrow, beyond those held."""
+    wanted = demand.target(ASK_SPREAD) - held
+    if waiting:
+        wanted = max(1, wanted)
     return max(0, min(wanted, MAX_SLOTS_PER_ASK))
 
 
 def slots_to_spare(demand: Demand, used: int, free: int) -> int:
     """Return how many free slots are not needed for the demand lately seen."""
-    needed = max(0, math.ceil(demand.peak) - used)
-    return max(0, free - needed - HEADROOM_SLOTS)
+    needed = max(0, demand.target(KEEP_SPREAD) - used)
+    return max(0, free - needed)
 
 
 def slots_to_return(demand: Demand, held: int, borrowed_free: int) -> int:
     """Return how many borrowed slots to give back, as the demand has gone."""
-    surplus = held - math.ceil(demand.peak) - 2 * HEADROOM_SLOTS
+    surplus = held - demand.target(KEEP_SPREAD)
     return max(0, min(surplus, borrowed_free))
 
 
--- a/packages/daisylift/src/daisylift/decisions/permit.py
+++ b/packages/daisylift/src/daisylift/decisions/permit.py
@@ -38,8 +38,14 @@
         """Return the most time that a request on this permit may be given."""
         return self.longest_request_seconds - DOUBT_GRACE_SECONDS
 
-    def may_start(self, now: float) -> bool:
-        """Say whether a request may start now; ask just before the first byte."""
+    def may_start(self, now: float, seconds_left: float = 0.0) -> bool:
+        """Say whether a request with so much time left may start now.
+
+        Ask just before the first byte. On a borrowed slot a request must not be given
+        more time than the lender counts on.
+        """
+        if self.lease is not None and seconds_left > self.timeout_seconds:
+            return False
         return now < self.valid_until
 
 
--- a/tests/fakes/relay.py
+++ b/tests/fakes/relay.py
@@ -60,7 +60,7 @@
         slot = min(free)
         used.add(slot)
         self.most_used = max(self.most_used, len(used))
-        return FakePermit(server, slot, lambda _: self.may_start)
+        return FakePermit(server, slot, lambda _, seconds_left=0.0: self.may_start)
 
     def release(
         self, permit: FakePermit, in_doubt: bool = False, seconds_left: float = 0.0
--- a/tests/shares_node.py
+++ b/tests/shares_node.py
@@ -70,7 +70,7 @@
     def __post_init__(self) -> None:
         """Start with no more than the process has at its start."""
         self.lender = Lender(self.ledger, self.incarnation)
-        self.borrower = Borrower(self.ledger)
+        self.borrower = Borrower(self.ledger, int(self.incarnation, 16) << 16)
         self.absences = Absences(self.vm)
 
     def fence(self) -> Fence:
--- a/tests/test_shares_mutations.py
+++ b/tests/test_shares_mutations.py
@@ -59,6 +59,10 @@
     return slots.mask & ~slots.used
 
 
+def _always(permit, now, seconds_left=0.0):
+    return True
+
+
 def _term_from_arrival(borrower, grant, now, accept=leases.Borrower.accept):
     pending = borrower._pending.get(grant.ask)
     if pending is not None:
@@ -77,7 +81,7 @@
 
 MUTATIONS = {
     'the borrower does not check the term': (BorrowedSlots, 'free', _never_ends),
-    'no check just before the first byte': (Permit, 'may_start', lambda p, now: True),
+    'no check just before the first byte': (Permit, 'may_start', _always),
     'the term counts from the answer': (leases.Borrower, 'accept', _term_from_arrival),
     'the lender takes back at the end of the term': (
         leases,
