--- a/packages/daisylift-node/src/daisylift_node/process/application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/application.py
@@ -1,6 +1,7 @@
 """The application: owns every component, starts them, and cleans up after them."""
 
 import random
+import time
 from typing import Protocol
 
 from aiohttp import web
@@ -34,6 +35,8 @@
 from daisylift_node.process.ordinals import UPKEEP_PERIOD_SECONDS, Ordinals
 from daisylift_node.process.permits import PermitPool
 from daisylift_node.process.platform import PlatformClient
+from daisylift_node.process.record_sweep import TICK_SECONDS as SWEEP_TICK_SECONDS
+from daisylift_node.process.record_sweep import RecordSweeper
 from daisylift_node.process.stopping import PlannedStop, StopGate
 from daisylift_node.process.timer import TimerService
 from daisylift_node.request.admission import Admission
@@ -152,6 +155,7 @@
             closed_regions=self.links.closed_regions,
         )
         self.records = IdempotencyRecords(self.platform, self.metrics)
+        self.sweeper = RecordSweeper(self.platform, self.metrics, clock.now, time.time)
         self.issuer = RequestIdIssuer(
             self.members, settings.peer.key.get_secret_value().encode()
         )
@@ -240,6 +244,7 @@
         self.timer.subscribe(POLL_PERIOD_SECONDS, self.load.poll)
         self.timer.subscribe(REPEAT_PERIOD_SECONDS, self.notices.repeat)
         self.timer.subscribe(EXPIRY_PERIOD_SECONDS, self.guard.expire)
+        self.timer.subscribe(SWEEP_TICK_SECONDS, self.sweeper.tick)
         lookup = LookupHandler(self.steering, self.issuer, self.metrics)
         caller = web.ServerRunner(
             caller_server(
@@ -307,6 +312,7 @@
         self.links.set_configuration(configuration)
         self.elsewhere.set_configuration(configuration)
         self.load.set_configuration(configuration)
+        self.sweeper.set_configuration(configuration)
         self.connections.keep_only(self.health.by_server)
 
     async def _refresh_members(self) -> None:
@@ -315,6 +321,7 @@
             self.members.hold(own)
             self.peers.ordinal = own.ordinal
             self.load.set_ordinal(own.ordinal)
+            self.sweeper.set_ordinal(own.ordinal)
         await self.members.refresh()
         self.steering.refresh_entries()
 
--- a/packages/daisylift-node/src/daisylift_node/process/idempotency.py
+++ b/packages/daisylift-node/src/daisylift_node/process/idempotency.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import base64
+import time
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -208,6 +209,14 @@
         return None
 
 
+def written_at(stored: StoredObject) -> float:
+    """Return the wall time of the record's last write; 0 when it can't be read."""
+    try:
+        return float(stored.value['written_at'])
+    except (KeyError, TypeError, ValueError):
+        return 0.0
+
+
 def _value(
     wanted: str, attempt: Attempt, state: State, answer: KeptAnswer | None
 ) -> dict[str, Any]:
@@ -217,6 +226,7 @@
         'incarnation': attempt.incarnation,
         'attempt_number': attempt.number,
         'state': state.value,
+        'written_at': int(time.time()),
         'answer': None if answer is None else _write_answer(answer),
     }
 
--- /dev/null
+++ b/packages/daisylift-node/src/daisylift_node/process/record_sweep.py
@@ -0,0 +1,98 @@
+"""Deletes expired idempotency records, by few and bounded calls."""
+
+from collections.abc import Callable
+
+from loguru import logger
+from returns.result import Failure, Success
+
+from daisylift.decisions.configuration import Configuration
+from daisylift.decisions.record_expiry import (
+    RevisionAges,
+    is_expired,
+    max_deletes,
+    sweep_period_seconds,
+    sweep_share,
+)
+from daisylift_node.process.idempotency import KIND, written_at
+from daisylift_node.process.metrics import Metrics
+from daisylift_node.process.platform import PlatformClient, StoredObject
+
+TICK_SECONDS = 10.0
+PAGE_SIZE = 200
+
+Clock = Callable[[], float]
+
+
+class RecordSweeper:
+    """Walks through this node's share of the record names, a page at a time."""
+
+    def __init__(
+        self,
+        platform: PlatformClient,
+        metrics: Metrics,
+        clock: Clock,
+        wall_clock: Clock,
+    ) -> None:
+        self._platform = platform
+        self._metrics = metrics
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._ages = RevisionAges()
+        self._ordinals: tuple[int, ...] = ()
+        self._ordinal: int | None = None
+        self._after = ''
+        self._next_at = 0.0
+
+    def set_configuration(self, configuration: Configuration) -> None:
+        """Take on the roster, among whose ordinals the names are shared out."""
+        roster = configuration.policy.roster
+        self._ordinals = tuple(sorted(entry.ordinal for entry in roster))
+
+    def set_ordinal(self, ordinal: int) -> None:
+        """Take on the share of an ordinal."""
+        self._ordinal = ordinal
+
+    async def tick(self) -> None:
+        """Sweep a page when it is time."""
+        now = self._clock()
+        if now < self._next_at or self._ordinal not in self._ordinals:
+            return
+        self._next_at = now + sweep_period_seconds(len(self._ordinals))
+        await self.sweep()
+
+    async def sweep(self) -> None:
+        """Read the next page of the share and delete what has expired."""
+        position = self._ordinals.index(self._ordinal)
+        share = sweep_share(position, len(self._ordinals))
+        after = max(self._after, share.start)
+        listing = await self._platform.list(KIND, after=after, limit=PAGE_SIZE)
+        if isinstance(listing, Failure):
+            return
+        page = listing.unwrap()
+        self._ages.note(page.revision, self._clock())
+        own = [found for found in page.objects if found.name <= share.end]
+        expired = [found for found in own if self._is_expired(found)]
+        chosen = expired[: max_deletes(len(self._ordinals))]
+        for found in chosen:
+            await self._delete(found)
+        is_last = len(own) < PAGE_SIZE
+        if len(chosen) < len(expired):
+            self._after = chosen[-1].name
+        else:
+            self._after = share.start if is_last else own[-1].name
+
+    def _is_expired(self, found: StoredObject) -> bool:
+        old = self._ages.old_revision(self._clock())
+        return is_expired(
+            version=found.version,
+            written_at=written_at(found),
+            old_revision=old,
+            wall_now=self._wall_clock(),
+        )
+
+    async def _delete(self, found: StoredObject) -> None:
+        result = await self._platform.delete(KIND, found.name, found.version)
+        label = 'ok' if isinstance(result, Success) else 'failed'
+        self._metrics.idempotency_writes.labels(write='sweep', result=label).inc()
+        if label == 'failed':
+            logger.debug('the expired record {} was left', found.name)
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -318,5 +318,6 @@
         'incarnation',
         'attempt_number',
         'state',
+        'written_at',
         'answer',
     }
