Never use a kept connection again on which an answer came unasked

Ruled out: a check at the end of each answer (the bytes come later). Now each send looks before its first byte leaves; such a connection is closed and the try ends as "did not run". An unasked answer that comes after the send and before the true one can't be told by HTTP/1.1; it costs one request at most.

--- a/packages/daisylift-node/src/daisylift_node/connection/upstream.py
+++ b/packages/daisylift-node/src/daisylift_node/connection/upstream.py
@@ -20,6 +20,10 @@
     """The request may no longer be sent; no byte of it has left."""
 
 
+class StrayBytesError(aiohttp.ClientConnectionError):
+    """A kept connection held bytes that no request had asked for."""
+
+
 class Dispatch:
     """A client middleware for one request, asked right before its first byte leaves.
 
@@ -53,7 +57,14 @@
     dispatch: Dispatch | None = None
 
     async def send(self, conn: aiohttp.connector.Connection) -> aiohttp.ClientResponse:
-        """Send the request over the connection, if it may still leave."""
+        """Send the request over the connection, if it may still leave.
+
+        A connection on which bytes came unasked would give this request another's
+        answer, so it is closed, and no byte of the request has left.
+        """
+        if conn.protocol is not None and conn.protocol.should_close:
+            conn.close()
+            raise StrayBytesError('the connection held an answer to no request')
         if self.dispatch is not None:
             self.dispatch.leave()
         return await super().send(conn)
--- /dev/null
+++ b/tests/test_stray_bytes.py
@@ -0,0 +1,75 @@
+"""Tests that an answer to no request is never taken for another's (issue 5)."""
+
+import asyncio
+
+import pytest
+
+from daisylift.decisions.configuration import ServerKey
+from daisylift.models import BackendServer
+from daisylift_node.connection.upstream import (
+    Dispatch,
+    StrayBytesError,
+    UpstreamConnections,
+)
+
+OWN = b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown'
+STRAY = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray'
+KEY = ServerKey('till', 'till-0')
+
+
+class StrayServer:
+    """Answers each request, and once more a while later."""
+
+    def __init__(self) -> None:
+        self.answered = 0
+        self.stray_sent = asyncio.Event()
+
+    async def serve(self, reader: asyncio.StreamReader, writer) -> None:
+        while True:
+            try:
+                await reader.readuntil(b'\r\n\r\n')
+            except asyncio.IncompleteReadError:
+                writer.close()
+                return
+            self.answered += 1
+            writer.write(OWN)
+            await asyncio.sleep(0.02)
+            writer.write(STRAY)
+            self.stray_sent.set()
+
+
+@pytest.fixture
+async def server():
+    stray = StrayServer()
+    listening = await asyncio.start_server(stray.serve, '127.0.0.1', 0)
+    stray.port = listening.sockets[0].getsockname()[1]
+    yield stray
+    listening.close()
+
+
+async def get(connections, server):
+    backend = BackendServer(
+        name='till-0',
+        host='127.0.0.1',
+        port=server.port,
+        failure_domain='arusha-1',
+        slots=1,
+        connections=1,
+    )
+    dispatch = Dispatch(lambda: True)
+    with connections.lease(KEY, backend, 1) as session:
+        url = f'http://127.0.0.1:{server.port}/'
+        async with session.get(url, middlewares=(dispatch,)) as answer:
+            return await answer.read()
+
+
+async def test_connection_with_an_unasked_answer_is_not_used_again(server):
+    connections = UpstreamConnections()
+    assert await get(connections, server) == b'own'
+    await server.stray_sent.wait()
+    await asyncio.sleep(0.05)
+    with pytest.raises(StrayBytesError):
+        await get(connections, server)
+    assert server.answered == 1
+    assert await get(connections, server) == b'own'
+    await connections.stop()
