--- a/packages/daisylift/src/daisylift/decisions/attempts.py
+++ b/packages/daisylift/src/daisylift/decisions/attempts.py
@@ -21,7 +21,7 @@
     Wait,
 )
 
-MAX_ENTRIES = 20_000
+MAX_ENTRIES = 10_000
 MAX_ANSWERS_BYTES = 4 * 1024 * 1024
 
 
