--- a/tests/fakes/local.py
+++ b/tests/fakes/local.py
@@ -86,6 +86,24 @@
         async with self.operator(0) as operator:
             await operator.put_policy(request)
 
+    async def set_server_drain(self, service: str, server: str, draining: bool) -> str:
+        """Drain a server, or end that; wait until all nodes follow."""
+        version = self.nodes[0].follower.current.version
+        request = pb.SetServerDrainRequest(
+            header=pb.ChangeHeader(
+                operation_id=f'drain-{version}', base_version=version
+            ),
+            service=service,
+            server=server,
+            draining=draining,
+        )
+        async with self.operator(0) as operator:
+            reply = await operator.set_server_drain(request)
+        await wait_until(
+            lambda: all(n.follower.current.version > version for n in self.nodes)
+        )
+        return reply.WhichOneof('outcome')
+
     def operator(self, node: int) -> OperatorClient:
         """Return an operators' client of a node."""
         address = self.nodes[node].settings.operator
@@ -149,7 +167,8 @@
         return [o for (k, _), o in sorted(self.platform.objects.items()) if k == kind]
 
     def _sees_all(self, node: Application) -> bool:
-        return node.is_ready() and len(node.members.by_ordinal) >= len(self.domains)
+        named = node.steering.entries_for(self.domains[0], 0)
+        return node.is_ready() and len(named) >= len(self.domains)
 
     async def _start_platform(self) -> None:
         (port,) = free_ports(1)
--- /dev/null
+++ b/tests/golden/transcript.py
@@ -0,0 +1,164 @@
+"""Writes a session down: steps, messages, decisions and outcomes, in virtual time."""
+
+from dataclasses import dataclass, field
+
+from daisylift_node.process.idempotency import KIND as RECORDS_KIND
+from tests.fakes.local import Answer, LocalFleet, wait_until
+
+MINUTES_PER_HOUR = 60
+WATCHED_KINDS = ('changes', RECORDS_KIND)
+
+
+@dataclass(slots=True)
+class Transcript:
+    """The lines of one session; names stand for addresses, ids and digests."""
+
+    lines: list[str] = field(default_factory=list)
+    _names: dict[str, str] = field(default_factory=dict)
+
+    def head(self, text: str) -> None:
+        """Begin a part of the session."""
+        self.lines.extend(['', text])
+
+    def say(self, time: str, text: str) -> None:
+        """Write one line."""
+        self.lines.append(f'{time}  {text}')
+
+    def name(self, value: str, sort: str) -> str:
+        """Return a stable name for a value that differs from run to run."""
+        if value not in self._names:
+            count = sum(1 for name in self._names.values() if name.startswith(sort))
+            self._names[value] = f'{sort} {count + 1}'
+        return self._names[value]
+
+    def text(self) -> str:
+        """Return the whole session."""
+        return '\n'.join(self.lines).strip() + '\n'
+
+
+@dataclass(slots=True)
+class Session:
+    """Callers and operators at work on a fleet, written down step by step."""
+
+    fleet: LocalFleet
+    transcript: Transcript
+    _seen_events: int = 0
+    _minute: int = 6 * MINUTES_PER_HOUR
+
+    def later(self, minutes: int = 1) -> str:
+        """Let virtual time pass and return it."""
+        self._minute += minutes
+        hours, minutes = divmod(self._minute, MINUTES_PER_HOUR)
+        return f'{hours:02}:{minutes:02}'
+
+    async def look_up(self, node: int, service: str, client: str) -> None:
+        """Ask a node where to go."""
+        path = f'/v1/lookup?service={service}&client={client}'
+        found = (await self.fleet.send(node, path, method='GET')).document
+        vms = [self._vm(entry['address']) for entry in found['entry_vms']]
+        self.transcript.say(
+            self.later(),
+            f'{client} asks vm-{node} about {service}: site {found["site"]},'
+            f' use {", ".join(vms)}, keep for {found["ttl_seconds"]} s',
+        )
+
+    async def send(
+        self,
+        node: int,
+        service: str,
+        path: str,
+        *,
+        method: str = 'GET',
+        body: str = '',
+        key: dict[str, str] | None = None,
+    ) -> Answer:
+        """Send a request and write down what came of it."""
+        before = self.fleet.executions()
+        answer = await self.fleet.send(
+            node,
+            f'/v1/services/{service}{path}',
+            method=method,
+            body=body.encode(),
+            headers=key,
+        )
+        await self._records_are_written()
+        runs = sum((self.fleet.executions() - before).values())
+        told = answer.problem or self._domain(answer)
+        replayed = ', the first answer again' if self._is_replay(answer) else ''
+        self.transcript.say(
+            self.later(),
+            f'{method} {service}{path}{self._key(key)} at vm-{node}: {answer.status}'
+            f' {answer.outcome} ({told}{replayed}), ran {runs} time(s)',
+        )
+        self._write_events()
+        return answer
+
+    async def drain(self, server: str, service: str, draining: bool) -> None:
+        """Drain a server, or end that, and wait until all nodes follow."""
+        changed = await self.fleet.set_server_drain(service, server, draining)
+        word = 'drains' if draining else 'ends the drain of'
+        self.transcript.say(
+            self.later(), f'operator {word} {server} of {service}: {changed}'
+        )
+        self._write_events()
+        versions = {node.follower.current.version for node in self.fleet.nodes}
+        self.transcript.say(self.later(0), f'in force on all VMs: {len(versions) == 1}')
+
+    def _vm(self, address: str) -> str:
+        for node in self.fleet.nodes:
+            caller = node.settings.caller
+            if address == f'{caller.host}:{caller.port}':
+                return node.settings.vm.id
+        return 'unknown VM'
+
+    def _domain(self, answer: Answer) -> str:
+        if answer.headers.get('Content-Type', '').startswith('application/json'):
+            server = answer.document['server']
+            return f'from {self.domain_by_server()[server]}'
+        return f'{len(answer.body)} bytes'
+
+    def domain_by_server(self) -> dict[str, str]:
+        """Return the failure domain of each backend server."""
+        return {
+            server['name']: server['failure_domain']
+            for service in self.fleet.policy['services']
+            for server in service['servers']
+        }
+
+    def _key(self, key: dict[str, str] | None) -> str:
+        if not key:
+            return ''
+        (value,) = key.values()
+        if 'Idempotency-Key' in key:
+            return f', key {value}'
+        return f', {self.transcript.name(value, "request id")}'
+
+    def _is_replay(self, answer: Answer) -> bool:
+        return 'Daisylift-Replayed' in answer.headers
+
+    async def _records_are_written(self) -> None:
+        await wait_until(
+            lambda: all(
+                found['value']['state'] != 'running'
+                for found in self.fleet.stored(RECORDS_KIND)
+            )
+        )
+
+    def _write_events(self) -> None:
+        events = self.fleet.platform.events
+        for event in events[self._seen_events :]:
+            stored = event['object']
+            if stored['kind'] in WATCHED_KINDS:
+                self.transcript.say('     ', f'  platform: {self._event(event)}')
+        self._seen_events = len(events)
+
+    def _event(self, event: dict) -> str:
+        stored = event['object']
+        if stored['kind'] == 'changes':
+            value = stored['value']
+            return f'change {value["version"]}, {value["body"]["kind"]}'
+        record = self.transcript.name(stored['name'], 'record')
+        value = stored['value']
+        kept = ' with its answer' if value['answer'] else ''
+        word = 'is deleted' if event['type'] == 'delete' else value['state'] + kept
+        return f'{record} of vm-{value["ordinal"]}: {word}'
