Split the costs of the apportionment from the model of shares

The costs are now bench/apportion.py; python -m bench.shares prints them as before, and the tables in docs/design/slot-shares.md stay as they are.

--- a/bench/shares.py
+++ b/bench/shares.py
@@ -8,14 +8,12 @@
 import heapq
 import json
 import random
-import time
-import tracemalloc
 from collections import deque
 from dataclasses import dataclass, field
 from itertools import count
 from pathlib import Path
 
-from daisylift.decisions.apportion import Apportioner
+from bench.apportion import print_costs
 from daisylift.decisions.configuration import Configuration, ServerKey, apply_change
 from daisylift.decisions.leases import LEASE_TERM_SECONDS, Borrower, Lender
 from daisylift.decisions.lending import (
@@ -29,15 +27,7 @@
 )
 from daisylift.decisions.permit import Permit
 from daisylift.decisions.permits import PermitLedger
-from daisylift.models import (
-    BackendServer,
-    Change,
-    FailureDomain,
-    Policy,
-    PutPolicy,
-    RosterEntry,
-    Service,
-)
+from daisylift.models import Change, Policy, PutPolicy
 
 EXAMPLE = Path(__file__).resolve().parents[1] / 'examples' / 'kanga' / 'policy.json'
 SERVICE = 'catalogue'
@@ -47,7 +37,6 @@
 TURN_SECONDS = 0.25
 TURNS_PER_REPORT = 4
 WARM_UP_SECONDS = 2.0
-COST_SIZES = ((7, 16, 3), (32, 40, 10), (128, 100, 10), (930, 300, 12))
 MODES = ('static', 'lending', 'forwarding', 'both')
 
 
@@ -308,74 +297,6 @@
         print(f'{load:4.0%} {arrivals:8} {fault:7} ' + '  '.join(cells), flush=True)
 
 
-def print_costs() -> None:
-    """Print time and memory of the apportionment, by ordinals and slots."""
-    print('ordinals  slots  full ms  one service ms  vacancy ms  moved  MB')
-    for size in COST_SIZES:
-        print(_costs(*size), flush=True)
-
-
-def _costs(ordinals: int, servers: int, services: int) -> str:
-    policy = _policy(ordinals, servers, services)
-    tracemalloc.start()
-    kept = Apportioner()
-    kept.apportion(policy, frozenset())
-    megabytes = tracemalloc.get_traced_memory()[0] / 1e6
-    tracemalloc.stop()
-    fresh = Apportioner()
-    full, before = _timed(lambda: fresh.apportion(policy, frozenset()))
-    vacancy, after = _timed(lambda: fresh.apportion(policy, frozenset({3})))
-    first = policy.services[0]
-    changed = first.model_copy(update={'servers': first.servers[1:]})
-    other = policy.model_copy(update={'services': (changed, *policy.services[1:])})
-    fresh.apportion(policy, frozenset())
-    one, _ = _timed(lambda: fresh.apportion(other, frozenset()))
-    slots = servers * services * 6
-    moved = sum(
-        a != b
-        for key, owners in before.owners_by_server.items()
-        for a, b in zip(owners, after.owners_by_server[key], strict=True)
-    )
-    times = f'{full * 1e3:8.1f} {one * 1e3:15.1f} {vacancy * 1e3:11.1f}'
-    return f'{ordinals:8d} {slots:6d} {times} {moved:6d} {megabytes:5.1f}'
-
-
-def _timed(work):
-    start = time.process_time()
-    result = work()
-    return time.process_time() - start, result
-
-
-def _policy(ordinals: int, servers: int, services: int) -> Policy:
-    domains = [f'd-{n}' for n in range(7)]
-    return Policy(
-        failure_domains=tuple(
-            FailureDomain(name=d, region=f'r-{n % 3}') for n, d in enumerate(domains)
-        ),
-        roster=tuple(
-            RosterEntry(ordinal=o, failure_domain=domains[o % 7])
-            for o in range(ordinals)
-        ),
-        services=tuple(
-            Service(
-                name=f's-{k}',
-                servers=tuple(
-                    BackendServer(
-                        name=f's-{k}-{n}',
-                        host='127.0.0.1',
-                        port=9000,
-                        failure_domain=domains[n % 7],
-                        slots=6,
-                        connections=330,
-                    )
-                    for n in range(servers)
-                ),
-            )
-            for k in range(services)
-        ),
-    )
-
-
 def main() -> None:
     """Print both tables."""
     parser = argparse.ArgumentParser(description=__doc__)
