See that a request is at work before the planned stop of the matrix

The cell stopped the node though its request might have been refused for want of a slot. It now sends until one is at work and tells what the caller saw. Nothing is eased.

--- a/tests/matrix/rows.py
+++ b/tests/matrix/rows.py
@@ -17,6 +17,7 @@
 DOWNLOAD_BYTES = 300_000
 STOPPED_NODE = 2
 CHANGE_TRIES = 40
+START_TRIES = 10
 
 
 class Row(Protocol):
@@ -309,18 +310,26 @@
 
     async def start(self, trial: Trial) -> None:
         """Stop a node while it has a request at work."""
-        tag = trial.fresh_tag()
         service = trial.workload.pay
         await trial.set_servers(service, work_seconds=WORK_SECONDS)
-        self._task = asyncio.create_task(trial.send(STOPPED_NODE, service, tag, 'POST'))
-        await trial.wait_for_run(f'POST /work {tag}')
+        for _ in range(START_TRIES):
+            tag = trial.fresh_tag()
+            sending = trial.send(STOPPED_NODE, service, tag, 'POST')
+            self._task = asyncio.create_task(sending)
+            if await trial.wait_for_run(f'POST /work {tag}'):
+                break
+            await self._task
+        else:
+            trial.broken.append('no request was ever at work before the stop')
         await trial.set_servers(service, work_seconds=0.0)
         trial.signal(STOPPED_NODE, signal.SIGTERM)
 
     async def go_on(self, trial: Trial) -> None:
         """See that the request in flight is answered, and start the node again."""
-        if not (await self._task).is_answered:
-            trial.broken.append('a planned stop cut a request in flight')
+        seen = await self._task
+        if not seen.is_answered:
+            told = f'{seen.status} {seen.outcome} {seen.body[:200]!r}'
+            trial.broken.append(f'a planned stop cut a request in flight: {told}')
         await trial.restart(STOPPED_NODE)
 
     async def prove(self, trial: Trial) -> None:
--- a/tests/matrix/trial.py
+++ b/tests/matrix/trial.py
@@ -172,12 +172,13 @@
         states = (await self.server_states()).values()
         return sum(state['executions'].get(what, 0) for state in states)
 
-    async def wait_for_run(self, what: str) -> None:
-        """Wait until something runs; give up quietly, as a fault may prevent it."""
+    async def wait_for_run(self, what: str) -> bool:
+        """Wait until something runs; say whether it does, as a fault may prevent it."""
         for _ in range(20):
             if await self.executions(what):
-                return
+                return True
             await asyncio.sleep(POLL_SECONDS)
+        return False
 
     def operator(self, node: int) -> OperatorClient:
         """Return an operators' client of a node."""
