--- /dev/null
+++ b/bench/restart.py
@@ -0,0 +1,107 @@
+"""Restart seven nodes one after another under load, and count what callers met.
+
+Run ``python -m bench.restart``. Real processes on loopback, Kanga's policy, payments
+of 20 ms at the till. Each caller keeps its look-up answer as long as it may.
+"""
+
+import asyncio
+import json
+import os
+import random
+import signal
+import statistics
+import tempfile
+import time
+from pathlib import Path
+
+import aiohttp
+
+from tests.fakes.callers import Callers
+from tests.fakes.fleet import Fleet, NodeProcess
+
+POLICY_FILE = Path('examples/kanga/policy.json')
+CALLERS = 12
+WORK_SECONDS = 0.02
+QUIET_SECONDS = 5.0
+POLL_SECONDS = 0.05
+READY_POLLS = 600
+
+
+async def wait_until_ready(node: NodeProcess) -> None:
+    """Wait until a node says that it is ready."""
+    async with aiohttp.ClientSession() as session:
+        for _ in range(READY_POLLS):
+            if await _is_ready(session, node):
+                return
+            await asyncio.sleep(POLL_SECONDS)
+    raise TimeoutError(f'{node.vm} did not get ready')
+
+
+async def _is_ready(session: aiohttp.ClientSession, node: NodeProcess) -> bool:
+    try:
+        async with session.get(f'{node.operations_url}/readyz') as answer:
+            return answer.status == 200
+    except aiohttp.ClientError:
+        return False
+
+
+async def slow_down(fleet: Fleet) -> None:
+    """Let each piece of work take its time at the backend servers."""
+    async with aiohttp.ClientSession() as session:
+        for port in fleet.server_ports().values():
+            url = f'http://127.0.0.1:{port}/control'
+            await session.post(url, json={'work_seconds': WORK_SECONDS})
+
+
+def report(name: str, callers: Callers) -> None:
+    """Print the counts and times so far."""
+    cuts = statistics.quantiles(callers.seconds, n=100)
+    print(
+        f'{name}: {dict(callers.ended_by_sort)}, '
+        f'p50 {cuts[49] * 1e3:.1f} ms, p99 {cuts[98] * 1e3:.1f} ms'
+    )
+
+
+async def measure(fleet: Fleet) -> None:
+    """Load the fleet, first left alone, then restarted node by node."""
+    await slow_down(fleet)
+    urls = [node.caller_url for node in fleet.nodes]
+    alone = Callers(urls, 'till', 'pay', random.Random(1))
+    alone.start(CALLERS)
+    await asyncio.sleep(QUIET_SECONDS)
+    await alone.stop()
+    report('left alone', alone)
+    callers = Callers(urls, 'till', 'pay', random.Random(2))
+    callers.start(CALLERS)
+    stops, starts = [], []
+    for node in fleet.nodes:
+        began = time.monotonic()
+        node.process.send_signal(signal.SIGTERM)
+        await asyncio.to_thread(node.process.wait)
+        stops.append(time.monotonic() - began)
+        fleet.start_node(node)
+        await wait_until_ready(node)
+        starts.append(time.monotonic() - began - stops[-1])
+    await callers.stop()
+    report('rolling restart', callers)
+    print(f'stop: median {statistics.median(stops):.1f} s, most {max(stops):.1f} s')
+    print(f'start: median {statistics.median(starts):.1f} s, most {max(starts):.1f} s')
+
+
+def main() -> None:
+    """Run it once."""
+    print(f'{os.cpu_count()} cores, load {os.getloadavg()[0]:.1f}')
+    policy = json.loads(POLICY_FILE.read_text())
+    domains = [entry['failure_domain'] for entry in policy['roster']]
+    with tempfile.TemporaryDirectory() as directory:
+        fleet = Fleet(Path(directory), policy)
+        try:
+            fleet.start(domains)
+            fleet.put_policy()
+            asyncio.run(measure(fleet))
+        finally:
+            fleet.stop()
+
+
+if __name__ == '__main__':
+    main()
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -60,3 +60,25 @@
     with pytest.raises(SettingsError) as caught:
         load_settings(path)
     assert 's3cret' not in str(caught.value)
+
+
+def test_seeds_are_a_list_of_addresses(tmp_path):
+    text = Path('examples/kanga/node.ini').read_text()
+    file = tmp_path / 'node.ini'
+    file.write_text(
+        text.replace('[peer]\n', '[peer]\nseeds = 10.0.0.6:7200, [::1]:7\n')
+    )
+    seeds = load_settings(file).peer.seeds
+    assert [(seed.host, seed.port) for seed in seeds] == [
+        ('10.0.0.6', 7200),
+        ('::1', 7),
+    ]
+
+
+@pytest.mark.parametrize('seeds', ['10.0.0.6', 'node-1:7200', '10.0.0.6:0'])
+def test_bad_seed_names_section_and_key(tmp_path, seeds):
+    text = Path('examples/kanga/node.ini').read_text()
+    file = tmp_path / 'node.ini'
+    file.write_text(text.replace('[peer]\n', f'[peer]\nseeds = {seeds}\n'))
+    with pytest.raises(SettingsError, match=r'\[peer\] seeds'):
+        load_settings(file)
