--- /dev/null
+++ b/packages/daisylift-node/src/daisylift_node/process/listeners.py
@@ -0,0 +1,47 @@
+"""The TCP ports that this node listens on."""
+
+from aiohttp import web
+from grpclib.server import Server
+
+from daisylift_node.config import ListenSettings
+from daisylift_node.errors import StartError
+
+
+class Listeners:
+    """Opens the ports, and closes them all at the end."""
+
+    def __init__(self) -> None:
+        self._runners: list[web.BaseRunner] = []
+        self._operator_server: Server | None = None
+
+    async def listen(self, runner: web.BaseRunner, address: ListenSettings) -> None:
+        """Serve HTTP at the address; raise StartError when it is taken."""
+        await runner.setup()
+        self._runners.append(runner)
+        try:
+            await web.TCPSite(runner, address.host, address.port).start()
+        except OSError as error:
+            raise _start_error(address, error) from error
+
+    async def listen_for_operators(
+        self, server: Server, address: ListenSettings
+    ) -> None:
+        """Serve gRPC at the address; raise StartError when it is taken."""
+        self._operator_server = server
+        try:
+            await server.start(address.host, address.port)
+        except OSError as error:
+            raise _start_error(address, error) from error
+
+    async def stop(self) -> None:
+        """Close all ports, the operators' first."""
+        if self._operator_server is not None:
+            self._operator_server.close()
+            await self._operator_server.wait_closed()
+        for runner in self._runners:
+            await runner.cleanup()
+
+
+def _start_error(address: ListenSettings, error: OSError) -> StartError:
+    place = f'{address.host}:{address.port}'
+    return StartError(f'can not listen on {place}: {error.strerror}')
--- a/packages/daisylift-node/src/daisylift_node/process/members.py
+++ b/packages/daisylift-node/src/daisylift_node/process/members.py
@@ -12,12 +12,14 @@
 )
 from daisylift.decisions.vm_list import is_watcher
 from daisylift.models import Claim
+from daisylift_node.connection.peers import Address
 from daisylift_node.process import clock
 from daisylift_node.process.membership import Membership
 from daisylift_node.process.ordinals import KIND, parse_claim
 from daisylift_node.process.platform import PlatformClient
 
 READ_PERIOD_SECONDS = 10.0
+MAX_NAMED_VMS = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +67,29 @@
             self._by_ordinal = {o: _member(o, record) for o, record in holders.items()}
         return self._by_ordinal
 
+    def others(self) -> list[Member]:
+        """Return the other members that hold ordinals and are not gone."""
+        own = self.own.ordinal if self.own is not None else None
+        return [
+            member
+            for ordinal, member in self.by_ordinal.items()
+            if ordinal != own and member.state is not MemberState.GONE
+        ]
+
+    def other_addresses(self) -> list[Address]:
+        """Return where peers reach the others."""
+        return [member.peer_address for member in self.others()]
+
+    def other_addresses_by_ordinal(self) -> dict[int, Address]:
+        """Return where peers reach the others, by ordinal."""
+        return {member.claim.ordinal: member.peer_address for member in self.others()}
+
+    def vms_to_try(self) -> tuple[str, ...]:
+        """Return the callers' addresses of a few other VMs, for refusals to name."""
+        own = self.membership.table.own_vm
+        usable = usable_members(self.by_ordinal, but=own)
+        return tuple(member.caller_address for member in usable[:MAX_NAMED_VMS])
+
     async def refresh(self) -> None:
         """Read the claims if it is time."""
         now = clock.now()
--- a/packages/daisylift-node/src/daisylift_node/request/elsewhere.py
+++ b/packages/daisylift-node/src/daisylift_node/request/elsewhere.py
@@ -5,14 +5,12 @@
 from daisylift.decisions.configuration import Configuration
 from daisylift.decisions.membership import MemberState
 from daisylift_node.process.idle import IdlePeers
-from daisylift_node.process.members import Member
+from daisylift_node.process.members import MAX_NAMED_VMS, Member
 from daisylift_node.process.metrics import Metrics
 from daisylift_node.request.call import Call
 from daisylift_node.request.ending import Ending
 from daisylift_node.request.forward import Forwarder
 
-MAX_NAMED_VMS = 3
-
 Others = Callable[[], Sequence[Member]]
 
 
