Let wardens ask the platform only while an ordinal has no live holder

Cause: the wardens read the VM list and all claims each 5 s; at 930 that is about 300 KB a read (derived in docs/design/ordinals.md), over the 6 KB/s of a node. Ruled out: a watch of the claims alone, as the VM list has none and must be read for the fence. Before: 2 calls each 5 s a warden, always. After: none while all ordinals have a live holder (test_wardens_ask_the_platform_nothing_while_all_are_alive); members' word only starts the look, the platform still decides. Conclusion: idle cost gone.

--- a/packages/daisylift-node/src/daisylift_node/process/application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/application.py
@@ -89,6 +89,7 @@
             follower=self.follower,
             writer=self.writer,
             permits=self.permits,
+            alive_ordinals=self.members.alive_ordinals,
         )
         self.requests = RequestPath(
             settings=settings,
--- a/packages/daisylift-node/src/daisylift_node/process/members.py
+++ b/packages/daisylift-node/src/daisylift_node/process/members.py
@@ -76,6 +76,14 @@
             if ordinal != own and member.state is not MemberState.GONE
         ]
 
+    def alive_ordinals(self) -> set[int]:
+        """Return the ordinals whose holders are alive, this node's own included."""
+        return {
+            ordinal
+            for ordinal, member in self.by_ordinal.items()
+            if member.state is MemberState.ALIVE
+        }
+
     def other_addresses(self) -> list[Address]:
         """Return where peers reach the others."""
         return [member.peer_address for member in self.others()]
--- a/packages/daisylift-node/src/daisylift_node/process/ordinals.py
+++ b/packages/daisylift-node/src/daisylift_node/process/ordinals.py
@@ -1,5 +1,7 @@
 """The ordinal of this VM: taken, kept and released; and care for VMs that are gone."""
 
+from collections.abc import Callable, Collection
+
 from loguru import logger
 from pydantic import TypeAdapter, ValidationError
 from returns.result import Failure, Result, Success
@@ -15,6 +17,7 @@
     Vacate,
     choose_claim,
     choose_upkeep,
+    has_absentee,
     is_warden,
 )
 from daisylift.models import Change, Claim, SetOrdinalEpoch, Vacancy
@@ -36,6 +39,8 @@
 EPOCH_ATTEMPTS = 5
 PAGE_SIZE = 1000
 
+AliveOrdinals = Callable[[], Collection[int]]
+
 _RECORD = TypeAdapter(Claim | Vacancy)
 
 
@@ -50,6 +55,7 @@
         follower: ConfigurationFollower,
         writer: ChangeWriter,
         permits: PermitPool,
+        alive_ordinals: AliveOrdinals = frozenset,
     ) -> None:
         self.own: Claim | None = None
         self._settings = settings
@@ -58,6 +64,7 @@
         self._follower = follower
         self._writer = writer
         self._permits = permits
+        self._alive_ordinals = alive_ordinals
         self._absences = Absences(settings.vm.id)
         self._stored_version = 0
         self._written: Claim | None = None
@@ -77,10 +84,16 @@
             await self._activate(self._written)
 
     async def keep_up(self) -> None:
-        """Look after the ordinals of gone VMs, if this node is one of the wardens."""
+        """Look after the ordinals of gone VMs, if this node is one of the wardens.
+
+        The platform is asked only while some ordinal is without a member that is
+        alive; whether its VM is gone, the platform alone decides.
+        """
         configuration = self._follower.current
         if self.own is None or not is_warden(configuration, self.own.ordinal):
             return
+        if not has_absentee(configuration, self._alive_ordinals()):
+            return
         stored = await self._observe()
         if stored is None:
             return
--- a/packages/daisylift/src/daisylift/decisions/ordinals.py
+++ b/packages/daisylift/src/daisylift/decisions/ordinals.py
@@ -5,7 +5,7 @@
 monotonic clock. Every step is a conditional write on the version that was decided on.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from daisylift.decisions.configuration import Configuration
@@ -179,6 +179,13 @@
     return steps
 
 
+def has_absentee(configuration: Configuration, alive: Collection[int]) -> bool:
+    """Say whether an ordinal that is not vacant has no holder known to be alive."""
+    roster = {entry.ordinal for entry in configuration.policy.roster}
+    expected = (roster | configuration.occupied) - configuration.vacant
+    return not expected.issubset(alive)
+
+
 def is_warden(configuration: Configuration, ordinal: int) -> bool:
     """Say whether the holder of the ordinal looks after claims of gone VMs.
 
--- a/tests/test_ordinals.py
+++ b/tests/test_ordinals.py
@@ -16,6 +16,7 @@
     Vacate,
     choose_claim,
     choose_upkeep,
+    has_absentee,
     is_warden,
 )
 from daisylift.models import Claim, PutPolicy, SetOrdinalEpoch, Vacancy
@@ -302,3 +303,33 @@
     assert third.own.epoch == 2
     assert third._follower.current.epochs[1] == 2
     assert third._permits.ledger.awaited() != set()
+
+
+@pytest.mark.parametrize(
+    ('alive', 'is_vacant', 'expected'),
+    [
+        (range(7), False, False),
+        (range(6), False, True),
+        (range(6), True, False),
+        ((), False, True),
+    ],
+)
+def test_absentee_is_an_ordinal_that_is_neither_vacant_nor_alive(
+    alive, is_vacant, expected
+):
+    changes = [make_policy(7)]
+    if is_vacant:
+        changes.append(SetOrdinalEpoch(ordinal=6, epoch=1))
+    assert has_absentee(follow(*changes)[-1], set(alive)) is expected
+
+
+async def test_wardens_ask_the_platform_nothing_while_all_are_alive(trial):
+    first = await trial.process('vm-1', '01' * 8)
+    await first.refresh()
+    first._alive_ordinals = lambda: range(7)
+    before = dict(trial.platform.calls)
+    await first.keep_up()
+    assert dict(trial.platform.calls) == before
+    first._alive_ordinals = lambda: range(6)
+    await first.keep_up()
+    assert dict(trial.platform.calls) != before
