--- /dev/null
+++ b/bench/moves.py
@@ -0,0 +1,205 @@
+"""Headroom and the moved share while a region is drained, under load.
+
+Run it with ``python -m bench.moves [kanga|teduh]``. Callers keep look-up answers as
+long as they may and use the VM named first. Beside the capped move the same drain with
+a cap of everything is shown, as a baseline.
+"""
+
+import argparse
+import asyncio
+import itertools
+import json
+import tempfile
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+from bench.load import LoadPlan, LoadResult, run_load
+from bench.tables import print_machine, print_table, quantile
+from tests.fakes.fleet import Fleet
+
+EXAMPLES = Path(__file__).resolve().parents[1] / 'examples'
+SERVICE_BY_WORKLOAD = {'kanga': 'catalogue', 'teduh': 'harga'}
+CAPS = (0.25, 1.0)
+PERIOD_SECONDS = 1.0
+ANSWER_TTL_SECONDS = 0.5
+BUSY_SHARE = 0.4
+RATE_PER_SECOND = 100.0
+RUN_SECONDS = 45.0
+DRAIN_AT_SECONDS = 5.0
+SAMPLE_SECONDS = 0.25
+CLIENTS = 200
+PERCENT = 100.0
+
+
+@dataclass(slots=True)
+class Watch:
+    """What was seen during one run, one entry a sample."""
+
+    free_by_region: dict[str, list[float]] = field(default_factory=dict)
+    drained_share: list[tuple[float, float]] = field(default_factory=list)
+
+
+def main() -> None:
+    """Measure the workloads named on the command line, or both."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('workloads', nargs='*', default=list(SERVICE_BY_WORKLOAD))
+    print_machine()
+    for workload in parser.parse_args().workloads:
+        rows = [_measure(workload, cap) for cap in CAPS]
+        print_table(
+            f'{workload}: drain of a region at {BUSY_SHARE:.0%} of all slots busy',
+            (
+                'cap',
+                'least free share of slots by region, %',
+                'most moved in a period, %',
+                'left at the end, %',
+                'outcomes',
+                'p99 over the work ms',
+            ),
+            rows,
+        )
+
+
+def _measure(workload: str, cap: float) -> tuple[object, ...]:
+    policy = json.loads((EXAMPLES / workload / 'policy.json').read_text())
+    service = SERVICE_BY_WORKLOAD[workload]
+    spec = next(s for s in policy['services'] if s['name'] == service)
+    policy['services'] = [spec]
+    spec |= {
+        'shift_cap': cap,
+        'shift_period_seconds': PERIOD_SECONDS,
+        'answer_ttl_seconds': ANSWER_TTL_SECONDS,
+    }
+    slots = sum(server['slots'] for server in spec['servers'])
+    work_seconds = BUSY_SHARE * slots / RATE_PER_SECOND
+    with tempfile.TemporaryDirectory() as directory:
+        fleet = Fleet(directory=Path(directory), policy=policy)
+        try:
+            fleet.start([entry['failure_domain'] for entry in policy['roster']])
+            fleet.put_policy()
+            result, watch = asyncio.run(_run(fleet, service, work_seconds))
+        finally:
+            fleet.stop()
+    free = {r: f'{min(v) * PERCENT:.0f}' for r, v in watch.free_by_region.items()}
+    p99 = quantile(result.latencies, 0.99) - work_seconds
+    return (
+        f'{cap:.0%}',
+        free,
+        f'{_most_moved(watch) * PERCENT:.0f}',
+        f'{watch.drained_share[-1][1] * PERCENT:.0f}',
+        dict(result.outcomes),
+        f'{p99 * 1000:.0f}',
+    )
+
+
+async def _run(
+    fleet: Fleet, service: str, work_seconds: float
+) -> tuple[LoadResult, Watch]:
+    watch = Watch()
+    async with aiohttp.ClientSession() as session:
+        await _set_work(session, fleet, work_seconds)
+        callers = Callers(fleet, service, session)
+        await callers.look_up_all()
+        plan = LoadPlan('GET', '/x', RATE_PER_SECOND, RUN_SECONDS)
+        running = asyncio.create_task(run_load(plan, callers.next_url))
+        watching = asyncio.create_task(_watch(session, fleet, callers, watch))
+        await asyncio.sleep(DRAIN_AT_SECONDS)
+        await asyncio.to_thread(fleet.admin, 'region', 'drain', callers.region)
+        result = await running
+        watching.cancel()
+    return result, watch
+
+
+class Callers:
+    """Client addresses that keep their look-up answers and use the first VM."""
+
+    def __init__(
+        self, fleet: Fleet, service: str, session: aiohttp.ClientSession
+    ) -> None:
+        domains = fleet.policy['failure_domains']
+        self.region = domains[0]['region']
+        self.region_by_site = {d['name']: d['region'] for d in domains}
+        self._fleet = fleet
+        self._service = service
+        self._session = session
+        self._answers: dict[str, dict[str, Any]] = {}
+        self._turn: Iterator[str] = itertools.cycle(
+            f'10.{number}.0.1' for number in range(CLIENTS)
+        )
+
+    async def look_up_all(self) -> None:
+        """Ask anew for every client, at nodes in turn."""
+        nodes = itertools.cycle(self._fleet.nodes)
+        asked = [next(self._turn) for _ in range(CLIENTS)]
+        await asyncio.gather(*(self._look_up(c, next(nodes)) for c in asked))
+
+    def next_url(self) -> str:
+        """Return the base URL for the next client's request."""
+        address = self._answers[next(self._turn)]['entry_vms'][0]['address']
+        return f'http://{address}/v1/services/{self._service}'
+
+    def drained_share(self) -> float:
+        """Return the share of clients that are still sent to the drained region."""
+        there = sum(
+            self.region_by_site[answer['site']] == self.region
+            for answer in self._answers.values()
+        )
+        return there / len(self._answers)
+
+    async def _look_up(self, client: str, node: Any) -> None:
+        url = f'{node.caller_url}/v1/lookup?service={self._service}&client={client}'
+        async with self._session.get(url) as response:
+            self._answers[client] = await response.json()
+
+
+async def _watch(
+    session: aiohttp.ClientSession, fleet: Fleet, callers: Callers, watch: Watch
+) -> None:
+    while True:
+        await asyncio.sleep(SAMPLE_SECONDS)
+        await callers.look_up_all()
+        watch.drained_share.append((time.monotonic(), callers.drained_share()))
+        for region, free in (await _free_shares(session, fleet, callers)).items():
+            watch.free_by_region.setdefault(region, []).append(free)
+
+
+async def _free_shares(
+    session: aiohttp.ClientSession, fleet: Fleet, callers: Callers
+) -> dict[str, float]:
+    used: dict[str, int] = {}
+    slots: dict[str, int] = {}
+    for server in fleet.policy['services'][0]['servers']:
+        region = callers.region_by_site[server['failure_domain']]
+        url = f'http://127.0.0.1:{server["port"]}/control'
+        async with session.get(url) as response:
+            state = await response.json()
+        used[region] = used.get(region, 0) + state['in_flight']
+        slots[region] = slots.get(region, 0) + server['slots']
+    return {region: 1.0 - used[region] / slots[region] for region in slots}
+
+
+async def _set_work(
+    session: aiohttp.ClientSession, fleet: Fleet, work_seconds: float
+) -> None:
+    for server in fleet.policy['services'][0]['servers']:
+        url = f'http://127.0.0.1:{server["port"]}/control'
+        async with session.post(url, json={'work_seconds': work_seconds}):
+            pass
+
+
+def _most_moved(watch: Watch) -> float:
+    """Return the largest share that left the region within any one period."""
+    most = 0.0
+    for at, share in watch.drained_share:
+        later = [s for t, s in watch.drained_share if at <= t < at + PERIOD_SECONDS]
+        most = max(most, share - min(later))
+    return most
+
+
+if __name__ == '__main__':
+    main()
