Let the process outlive a stop that waits for long-kept look-up answers

Cause: found by reading core.py beside decisions/stopping.py: the event loop gave the whole stop announce + finish + 10 s of the settings, while the announcing lasts as long as the policy lets answers be kept, up to an hour. With answers kept 60 s the library would have cancelled the stop at 43 s and cut what was in flight. Ruled out: reading the policy at the start of the process, as it changes later. Before: bound 43 s by default. After: bound by the longest any policy allows; the stop's own plan ends it far sooner. test_process_outlives_its_stop_under_every_policy holds the two together. Conclusion: a planned stop is never cut by the process around it.

--- a/packages/daisylift-node/src/daisylift_node/core.py
+++ b/packages/daisylift-node/src/daisylift_node/core.py
@@ -61,7 +61,10 @@
     gc.freeze()
     try:
         with aiomisc.entrypoint(
-            service, log_config=False, shutdown_timeout=stop_seconds, pool_size=2
+            service,
+            log_config=False,
+            shutdown_timeout=stop_seconds + STOP_MARGIN_SECONDS,
+            pool_size=2,
         ) as loop:
             loop.run_forever()
     except StartError as error:
--- a/packages/daisylift/src/daisylift/decisions/stopping.py
+++ b/packages/daisylift/src/daisylift/decisions/stopping.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from daisylift.models import Policy
+from daisylift.models.policy import MAX_ANSWER_TTL_SECONDS
 
 SPREAD_SECONDS = 1.5
 
@@ -46,3 +47,8 @@
     """
     kept = max((s.answer_ttl_seconds for s in policy.services), default=0.0)
     return max(configured_seconds, SPREAD_SECONDS + kept)
+
+
+def longest_stop_seconds(announce: float, finish: float) -> float:
+    """Return how long a planned stop may take at most, whatever the policy says."""
+    return max(announce, SPREAD_SECONDS + MAX_ANSWER_TTL_SECONDS) + finish
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -13,8 +13,10 @@
     StopPhase,
     StopPlan,
     announce_seconds,
+    longest_stop_seconds,
 )
-from daisylift.models import Policy
+from daisylift.models import Policy, Service
+from daisylift.models.policy import MAX_ANSWER_TTL_SECONDS
 from daisylift_node.config import StopSettings
 from daisylift_node.connection.caller import caller_server
 from daisylift_node.process.metrics import Metrics
@@ -147,3 +149,10 @@
         stand.go_on.set()
         await slow
     await runner.cleanup()
+
+
+def test_process_outlives_its_stop_under_every_policy():
+    service = Service(name='till', answer_ttl_seconds=MAX_ANSWER_TTL_SECONDS, servers=())
+    policy = Policy(failure_domains=(), roster=(), services=(service,))
+    announce = announce_seconds(3.0, policy)
+    assert longest_stop_seconds(3.0, 30.0) >= announce + 30.0
