--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -152,7 +152,8 @@
 
 
 def test_process_outlives_its_stop_under_every_policy():
-    service = Service(name='till', answer_ttl_seconds=MAX_ANSWER_TTL_SECONDS, servers=())
+    ttl = MAX_ANSWER_TTL_SECONDS
+    service = Service(name='till', answer_ttl_seconds=ttl, servers=())
     policy = Policy(failure_domains=(), roster=(), services=(service,))
     announce = announce_seconds(3.0, policy)
     assert longest_stop_seconds(3.0, 30.0) >= announce + 30.0
