Refuse a policy that lists one address twice for a service

Ruled out: refusing it across services, as operators may split a machine's slots between two. Before: accepted. After: invalid, 'address ... is given twice', with a test; test and bench policies that used one port for all servers now number them. Conclusion: a slip in a policy can no longer overrun a server.

--- a/bench/apportion.py
+++ b/bench/apportion.py
@@ -88,7 +88,7 @@
                     BackendServer(
                         name=f's-{k}-{n}',
                         host='127.0.0.1',
-                        port=9000,
+                        port=9000 + n,
                         failure_domain=domains[n % 7],
                         slots=6,
                         connections=330,
--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -38,8 +38,8 @@
     servers = [
         {
             'name': f'server-{site}-{number}',
-            'host': '10.0.0.1',
-            'port': 8000,
+            'host': f'10.0.0.{site}',
+            'port': 8000 + number,
             'failure_domain': f'site-{site}',
             'slots': 8,
             'connections': 300,
--- a/bench/lookups.py
+++ b/bench/lookups.py
@@ -175,8 +175,8 @@
     return [
         {
             'name': f'server-{site}-{number}',
-            'host': '10.0.0.1',
-            'port': 8000,
+            'host': f'10.0.0.{site}',
+            'port': 8000 + number,
             'failure_domain': _site(site),
             'slots': 8,
             'connections': 300,
--- a/bench/routing.py
+++ b/bench/routing.py
@@ -109,12 +109,12 @@
                     {
                         'name': name,
                         'host': '127.0.0.1',
-                        'port': 1,
+                        'port': port,
                         'failure_domain': f'r{region}-{domain}',
                         'slots': slots,
                         'connections': CONNECTIONS,
                     }
-                    for name, region, domain, slots in sizes
+                    for port, (name, region, domain, slots) in enumerate(sizes, 1)
                 ],
             }
         ],
--- a/bench/shifts.py
+++ b/bench/shifts.py
@@ -283,13 +283,13 @@
     servers = [
         {
             'name': f'till-{site}',
-            'host': '10.0.0.1',
+            'host': f'10.0.0.{number}',
             'port': 8000,
             'failure_domain': site,
             'slots': 40,
             'connections': 100,
         }
-        for site in SITES
+        for number, site in enumerate(SITES)
     ]
     return Policy.model_validate(
         {
--- a/packages/daisylift/src/daisylift/models/policy.py
+++ b/packages/daisylift/src/daisylift/models/policy.py
@@ -50,6 +50,11 @@
     slots: Annotated[int, Field(ge=1, le=MAX_SLOTS)]
     connections: Annotated[int, Field(ge=1, le=MAX_CONNECTIONS)]
 
+    @property
+    def address(self) -> str:
+        """Return where it listens; under two names it would get twice its slots."""
+        return f'{self.host}:{self.port}'
+
     @field_validator('host')
     @classmethod
     def _host_is_ip_number(cls, host: str) -> str:
@@ -77,6 +82,7 @@
     @model_validator(mode='after')
     def _servers_are_distinct(self) -> Self:
         _require_distinct((server.name for server in self.servers), 'server')
+        _require_distinct((server.address for server in self.servers), 'address')
         return self
 
 
--- a/tests/shares.py
+++ b/tests/shares.py
@@ -28,7 +28,7 @@
         BackendServer(
             name=name,
             host='127.0.0.1',
-            port=9000,
+            port=9000 + number,
             failure_domain=DOMAINS[number % len(DOMAINS)],
             slots=slots,
             connections=330,
--- a/tests/test_change_writer.py
+++ b/tests/test_change_writer.py
@@ -150,7 +150,7 @@
     one, _ = nodes
     document = policy_document()['services'][0]
     document['servers'] = [
-        {**document['servers'][0], 'name': f'till-{number}', 'slots': 1}
+        {**document['servers'][0], 'name': f'till-{number}', 'port': 1 + number}
         for number in range(9000)
     ]
     outcome = await one.writer.submit(put_policy(0, 'a', services=[document]))
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -28,6 +28,14 @@
         Policy.model_validate(document)
 
 
+def test_address_given_twice_is_refused():
+    document = policy_document()
+    servers = document['services'][0]['servers']
+    servers.append(servers[0] | {'name': 'till-again'})
+    with pytest.raises(ValidationError, match='address .* is given twice'):
+        Policy.model_validate(document)
+
+
 def test_server_given_twice_is_refused():
     document = policy_document()
     servers = document['services'][0]['servers']
