Keep following the configuration when a part or a read fails

Cause: found by reading: an exception in any part that takes a version on, or in the watch, ended the task that follows, silently and for good; and after a watch told of a change whose read then failed, the revision moved on, so the change was missed until the next one. Ruled out: catching in each part. After: each listener is told apart from the others, the task goes on, and the revision moves only when the read succeeded. Conclusion: an accepted version reaches every part that can take it, on every node that can read.

--- a/packages/daisylift-node/src/daisylift_node/version/configuration.py
+++ b/packages/daisylift-node/src/daisylift_node/version/configuration.py
@@ -88,29 +88,36 @@
                 logger.error('change {} can not be applied: {}', change.version, error)
                 break
             for listener in self._change_listeners:
-                listener(previous, change)
+                _tell(listener, previous, change)
             self._announce()
 
     def _announce(self) -> None:
         self._metrics.configuration_version.set(self.current.version)
         logger.info('configuration version {} is in force', self.current.version)
         for listener in self._listeners:
-            listener(self.current)
+            _tell(listener, self.current)
 
     async def _follow(self) -> None:
         revision = 0
         while True:
-            if not self.is_watcher():
-                await self._wait_as_follower()
-                continue
-            batch = await self._platform.watch(KIND, revision, WATCH_SECONDS)
-            match batch:
-                case Success(found):
-                    revision = found.revision
-                    if found.events:
-                        await self.catch_up()
-                case Failure():
-                    await asyncio.sleep(RETRY_SECONDS)
+            try:
+                revision = await self._follow_once(revision)
+            except Exception:
+                logger.exception('following the configuration failed; it goes on')
+                await asyncio.sleep(RETRY_SECONDS)
+
+    async def _follow_once(self, revision: int) -> int:
+        """Wait for news after the revision; return the revision reached."""
+        if not self.is_watcher():
+            await self._wait_as_follower()
+            return revision
+        batch = await self._platform.watch(KIND, revision, WATCH_SECONDS)
+        match batch:
+            case Success(found):
+                if not found.events or await self.catch_up():
+                    return found.revision
+        await asyncio.sleep(RETRY_SECONDS)
+        return revision
 
     async def _wait_as_follower(self) -> None:
         """Let peers bring the news; read the log rarely, in case none does."""
@@ -119,3 +126,11 @@
             self._read_at = now
             await self.catch_up()
         await asyncio.sleep(FOLLOWER_PERIOD_SECONDS)
+
+
+def _tell(listener: Callable[..., None], *arguments: object) -> None:
+    """Call a listener; one that fails must not keep a version from the others."""
+    try:
+        listener(*arguments)
+    except Exception:
+        logger.exception('a part could not take the configuration on')
