Print every field of a reply as JSON, also zeros

Cause: daisylift status, tried by hand, left the ordinal out of the member at 0, so a script could not tell it from an unknown one. Ruled out: optional fields in the schema. Before: no ordinal for 0. After: shown, with a test. Conclusion: output only.

--- a/packages/daisylift-admin/src/daisylift_admin/output/formatters.py
+++ b/packages/daisylift-admin/src/daisylift_admin/output/formatters.py
@@ -21,7 +21,11 @@
 
     def format(self, reply: Message) -> str:
         """Return the reply as JSON."""
-        document = MessageToDict(reply, preserving_proto_field_name=True)
+        document = MessageToDict(
+            reply,
+            preserving_proto_field_name=True,
+            always_print_fields_with_no_presence=True,
+        )
         return json.dumps(document, indent=2) + '\n'
 
 
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -150,3 +150,9 @@
     assert json.loads(JsonFormatter().format(ACCEPTED)) == {
         'accepted': {'version': '8'}
     }
+
+
+def test_json_shows_the_member_at_ordinal_zero():
+    reply = pb.GetStatusReply(vm='vm-0', members=[pb.MemberStatus(vm='vm-0')])
+    document = json.loads(JsonFormatter().format(reply))
+    assert document['members'][0]['ordinal'] == 0
