Hand no port out twice to a fleet of stand-ins

Cause: ports were drawn for each node while those of nodes started before were not listened on yet; with 64 nodes one node's livez was answered by another's port (404). Ruled out: slow starts (64 nodes are up in 8.5 s).

--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -55,17 +55,21 @@
 format = json
 """
 
+_handed_out: set[int] = set()
+
 
 def free_ports(count: int) -> list[int]:
     """Return ports that were free a moment ago, for TCP and UDP.
 
     They lie below those that the system gives to outgoing connections, so that a
-    process which is killed and started again finds its ports still free.
+    process which is killed and started again finds its ports still free. None is
+    handed out twice, as its process may not listen yet when the next is asked for.
     """
     ports: list[int] = []
     while len(ports) < count:
         port = random.SystemRandom().randrange(*LISTEN_PORTS)
-        if port not in ports and _is_free(port):
+        if port not in _handed_out and _is_free(port):
+            _handed_out.add(port)
             ports.append(port)
     return ports
 
