Keep the check of the shared key in one place

Cause: the metadata's name stood twice, and the peers' gRPC imported its check from the operators' module. Ruled out: a check in each server. Before: process/operator.py and the admin client each named it. After: daisylift.headers names it, connection/keys.py checks it. Conclusion: one thing less to look for.

--- a/packages/daisylift-admin/src/daisylift_admin/client.py
+++ b/packages/daisylift-admin/src/daisylift_admin/client.py
@@ -7,12 +7,12 @@
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
+from daisylift.headers import KEY_METADATA
 from daisylift.schema import operator_pb2 as pb
 from daisylift.schema.operator_grpc import OperatorStub
 from daisylift_admin.errors import AdminError
 from daisylift_admin.status import ExitStatus
 
-KEY_METADATA = 'daisylift-key'
 CALL_TIMEOUT_SECONDS = 10.0
 
 
--- a/packages/daisylift-node/src/daisylift_node/process/operator.py
+++ b/packages/daisylift-node/src/daisylift_node/process/operator.py
@@ -1,6 +1,5 @@
 """The operators' calls, as the schema file defines them."""
 
-import hmac
 from collections.abc import Callable
 
 from google.protobuf.json_format import MessageToDict, ParseDict
@@ -23,6 +22,7 @@
 )
 from daisylift.schema import operator_pb2 as pb
 from daisylift.schema.operator_grpc import OperatorBase
+from daisylift_node.connection.keys import require_key
 from daisylift_node.process.members import Members
 from daisylift_node.process.permits import PermitPool
 from daisylift_node.process.replies import (
@@ -35,8 +35,6 @@
 from daisylift_node.version.configuration import ConfigurationFollower
 from daisylift_node.version.shift_driver import ShiftDriver
 
-KEY_METADATA = 'daisylift-key'
-
 ACTION_NAMES = {
     pb.SHIFT_ACTION_ABORT: 'abort',
     pb.SHIFT_ACTION_RESUME: 'resume',
@@ -44,13 +42,6 @@
 }
 
 
-def require_key(metadata: object, key: str) -> None:
-    """Raise UNAUTHENTICATED unless the metadata carries the shared key."""
-    given = metadata.get(KEY_METADATA, '')
-    if not hmac.compare_digest(str(given).encode(), key.encode()):
-        raise GRPCError(Status.UNAUTHENTICATED, 'the key is missing or wrong')
-
-
 class OperatorService(OperatorBase):
     """Serves operators; each change goes through the platform's change log."""
 
--- a/packages/daisylift-node/src/daisylift_node/version/peer_sync.py
+++ b/packages/daisylift-node/src/daisylift_node/version/peer_sync.py
@@ -12,14 +12,15 @@
 
 from daisylift.decisions.configuration import Configuration
 from daisylift.decisions.spreading import receivers_of
+from daisylift.headers import KEY_METADATA
 from daisylift.models import Change
 from daisylift.schema import peer_pb2, sync_pb2
 from daisylift.schema.sync_grpc import ConfigurationSyncBase, ConfigurationSyncStub
 from daisylift_node.config import KeyedListenSettings
+from daisylift_node.connection.keys import require_key
 from daisylift_node.connection.peers import Address, PeerLink, Received, Sender
 from daisylift_node.errors import PeerMessageError, StartError
 from daisylift_node.process.metrics import Metrics
-from daisylift_node.process.operator import KEY_METADATA, require_key
 from daisylift_node.version.configuration import ConfigurationFollower
 
 MAX_NEWS_BYTES = 900
--- a/packages/daisylift/src/daisylift/headers.py
+++ b/packages/daisylift/src/daisylift/headers.py
@@ -1,4 +1,4 @@
-"""Names of the HTTP headers that daisylift reads and writes."""
+"""Names of the HTTP headers and gRPC metadata that daisylift reads and writes."""
 
 from collections.abc import Iterable, Iterator, Mapping
 
@@ -8,6 +8,7 @@
 IDEMPOTENCY_KEY = 'Idempotency-Key'
 LOAD = 'Daisylift-Load'
 DRAINING = 'Daisylift-Draining'
+KEY_METADATA = 'daisylift-key'
 SERVER = 'Daisylift-Server'
 REPLAYED = 'Daisylift-Replayed'
 FORWARDED_BY = 'Daisylift-Forwarded-By'
