--- a/packages/daisylift-admin/src/daisylift_admin/core.py
+++ b/packages/daisylift-admin/src/daisylift_admin/core.py
@@ -45,6 +45,10 @@
     key = environment.variables.get(KEY_VARIABLE, '')
     if not key:
         raise AdminError(f'set {KEY_VARIABLE} to the shared key', ExitStatus.USAGE)
+    if not (key.isascii() and key.isprintable()):
+        raise AdminError(
+            f'{KEY_VARIABLE} may hold printable ASCII only', ExitStatus.USAGE
+        )
     options = ChangeOptions(
         base_version=values.base_version,
         operation_id=values.operation_id,
--- a/packages/daisylift-node/src/daisylift_node/config.py
+++ b/packages/daisylift-node/src/daisylift_node/config.py
@@ -27,15 +27,18 @@
     return str(ipaddress.ip_address(host))
 
 
-def _long_enough(key: SecretStr) -> SecretStr:
-    if len(key.get_secret_value()) < MIN_KEY_LENGTH:
+def _usable_key(key: SecretStr) -> SecretStr:
+    text = key.get_secret_value()
+    if len(text) < MIN_KEY_LENGTH:
         raise ValueError(f'needs at least {MIN_KEY_LENGTH} characters')
+    if not (text.isascii() and text.isprintable()):
+        raise ValueError('may hold printable ASCII only')
     return key
 
 
 Host = Annotated[str, AfterValidator(_ip_number)]
 Port = Annotated[int, Field(ge=1, le=MAX_PORT)]
-Key = Annotated[SecretStr, AfterValidator(_long_enough)]
+Key = Annotated[SecretStr, AfterValidator(_usable_key)]
 
 
 class SettingsSection(BaseModel):
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -138,6 +138,14 @@
     assert KEY_VARIABLE in stderr
 
 
+@pytest.mark.parametrize('key', ['ключ', 'a\nkey'])
+def test_key_that_can_not_be_sent_is_said_without_showing_it(key):
+    status, stderr = run('status', key=key)
+    assert status is ExitStatus.USAGE
+    assert 'printable ASCII' in stderr
+    assert key not in stderr
+
+
 def test_no_node_is_unavailable():
     (port,) = free_ports(1)
     status, stderr = run(f'--node=127.0.0.1:{port}', 'status')
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -25,6 +25,7 @@
         ('port = 7000', 'prot = 7000', r'\[caller\] (port|prot): '),
         ('host = 127.0.0.1', 'host = localhost', r'\[caller\] host: .*IPv4 or IPv6'),
         ('key = change-this-shared-key', 'key = short', r'\[operator\] key: .*16'),
+        ('key = change-this', 'key = ключ-change-this', r'\[operator\] key: .*ASCII'),
         ('url = http:', 'url = ftp:', r'\[platform\] url: .*http'),
         ('level = INFO', 'level = LOUD', r'\[log\] level: '),
         ('[caller]', '[callers]', r'\[callers?\]: '),
