Keep the state of slots in a module of its own

Ruled out: splitting the ledger itself, whose parts share one state. Conclusion: read slot_state.py first, then the ledger.

--- a/packages/daisylift/src/daisylift/decisions/permits.py
+++ b/packages/daisylift/src/daisylift/decisions/permits.py
@@ -6,7 +6,6 @@
 import heapq
 import math
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, field
 
 from daisylift.decisions.apportion import EMPTY_LAYOUT, Apportioner, Layout
 from daisylift.decisions.configuration import Configuration, ServerKey
@@ -17,35 +16,7 @@
     BorrowedSlots,
     Permit,
 )
-
-
-@dataclass(slots=True)
-class _Server:
-    """The node's own slots of one server, each field a set of slot indexes as bits."""
-
-    own: int = 0
-    blocked: int = 0
-    used: int = 0
-    lent: int = 0
-    cold_since: float = -math.inf
-
-    @property
-    def busy(self) -> int:
-        return self.used | self.lent
-
-
-@dataclass(frozen=True, slots=True)
-class _Draining:
-    """What this node lost by a version and has not seen idle since."""
-
-    version: int
-    masks: Masks
-
-
-@dataclass(order=True, slots=True)
-class _Doubt:
-    until: float
-    permit: Permit = field(compare=False)
+from daisylift.decisions.slot_state import DoubtfulEnd, LostSlots, ServerSlots
 
 
 class PermitLedger:
@@ -58,11 +29,11 @@
         self.confirmations = Confirmations()
         self._apportioner = Apportioner()
         self._layout: Layout = EMPTY_LAYOUT
-        self._by_server: dict[ServerKey, _Server] = {}
-        self._held_by_service: dict[str, dict[ServerKey, _Server]] = {}
+        self._by_server: dict[ServerKey, ServerSlots] = {}
+        self._held_by_service: dict[str, dict[ServerKey, ServerSlots]] = {}
         self._borrowed: dict[ServerKey, list[BorrowedSlots]] = {}
-        self._draining: list[_Draining] = []
-        self._doubts: list[_Doubt] = []
+        self._draining: list[LostSlots] = []
+        self._doubts: list[DoubtfulEnd] = []
         self._held_until: dict[str, float] = {}
         self._request_seconds: dict[str, float] = {}
         self._cold_seconds: dict[str, float] = {}
@@ -158,7 +129,7 @@
     ) -> None:
         """End the use of a permit, at once or when a doubtful request must be over."""
         if doubtful_until is not None and doubtful_until > now:
-            heapq.heappush(self._doubts, _Doubt(doubtful_until, permit))
+            heapq.heappush(self._doubts, DoubtfulEnd(doubtful_until, permit))
             return
         self._free(permit)
 
@@ -219,7 +190,7 @@
 
     def lend(self, server: ServerKey, mask: int) -> None:
         """Count own slots as lent."""
-        state = self._by_server.setdefault(server, _Server())
+        state = self._by_server.setdefault(server, ServerSlots())
         state.lent |= mask
         self._held_by_service.setdefault(server.service, {})[server] = state
 
@@ -274,7 +245,7 @@
             if server in self._by_server and mask & self._by_server[server].busy
         }
         if busy:
-            self._draining.append(_Draining(version, busy))
+            self._draining.append(LostSlots(version, busy))
 
     def _drained(self, server: ServerKey, mask: int) -> None:
         for draining in self._draining:
@@ -294,7 +265,7 @@
             if server in self._by_server:
                 continue
             cold_since = now if before.version else -math.inf
-            self._by_server[server] = _Server(cold_since=cold_since)
+            self._by_server[server] = ServerSlots(cold_since=cold_since)
 
     def _recompute(self) -> None:
         usable = self._may_use_own()
@@ -333,7 +304,7 @@
             free &= self._warm_mask(server, state, now)
         return free
 
-    def _warm_mask(self, server: ServerKey, state: _Server, now: float) -> int:
+    def _warm_mask(self, server: ServerKey, state: ServerSlots, now: float) -> int:
         slots = len(self._layout.owners_by_server.get(server, ()))
         seconds = self._cold_seconds.get(server.service, 0.0)
         elapsed = now - state.cold_since
