Keep few servers for each object, and renew all watches when one breaks

Change: a broken watch renews those of the other kinds; the wait is 5 s, not 10 s. Ruled out: too few slots (warm demand is half of them). Change: each object has two servers at home and one far; a request waits for these.

--- a/packages/daisylift-node/src/daisylift_node/version/fleet_view.py
+++ b/packages/daisylift-node/src/daisylift_node/version/fleet_view.py
@@ -17,7 +17,7 @@
     DocumentStore,
     StoredDocument,
 )
-from daisylift_node.version.replica import Replica
+from daisylift_node.version.replica import Listener, Replica
 
 LAPSE_SECONDS = 1.8  # a lapsed registration is back within two seconds if it comes back
 UNKNOWN_FLEET_NODES = 16  # taken as the fleet's size until members are known
@@ -51,18 +51,19 @@
         self.members_by_name: dict[str, EntryMember] = {}
         self.evacuated_domains: frozenset[str] = frozenset()
         self._documents = documents
+        self._store = store
         self._cold_rate = cold_rate
         self._clock = clock
         self._known_by_id: dict[str, _KnownServer] = {}
         self._placers_by_service: dict[str, ServicePlacer] = {}
         self._on_change: list[Callable[[], None]] = []
         self._on_server_gone: list[Callable[[RegisteredServer], None]] = []
-        self.config = Replica(documents.config_kind, store, self._config_changed)
-        self.servers = Replica(documents.server_kind, store, self._servers_changed)
-        self.evacuations = Replica(
-            documents.evacuation_kind, store, self._evacuations_changed
+        self.config = self._replica(documents.config_kind, self._config_changed)
+        self.servers = self._replica(documents.server_kind, self._servers_changed)
+        self.evacuations = self._replica(
+            documents.evacuation_kind, self._evacuations_changed
         )
-        self.members = Replica(documents.member_kind, store, self._members_changed)
+        self.members = self._replica(documents.member_kind, self._members_changed)
 
     @property
     def replicas_by_kind(self) -> dict[str, Replica]:
@@ -125,6 +126,14 @@
         if gone:
             self._rebuild({known.server.service for known in gone})
 
+    def _replica(self, kind: str, listener: Listener) -> Replica:
+        return Replica(kind, self._store, listener, self._refresh_others)
+
+    def _refresh_others(self, broken_kind: str) -> None:
+        for kind, replica in self.replicas_by_kind.items():
+            if kind != broken_kind:
+                replica.refresh()
+
     def _cold_per_second(self, service: str) -> float:
         terms = self.routes.state.services_by_name.get(service) if self.routes else None
         if terms is None or terms.cold_requests_per_second <= 0.0:
--- a/packages/daisylift-node/src/daisylift_node/version/replica.py
+++ b/packages/daisylift-node/src/daisylift_node/version/replica.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from daisylift_node.version.documents import (
+    DocumentChanges,
     DocumentListing,
     DocumentStore,
     HistoryGoneError,
@@ -18,7 +19,8 @@
     StoreError,
 )
 
-WATCH_SECONDS = 10.0  # how long the store may hold a watch without changes
+WATCH_SECONDS = 5.0  # bounds how long a watch that hears nothing goes unnoticed
+REFRESH_PAUSE_SECONDS = 0.5  # between renewals, so that copies don't renew in turns
 FIRST_PAUSE_SECONDS = 0.1  # after a call that failed
 MAX_PAUSE_SECONDS = 0.8  # keeps a machine that is turned away below two calls a second
 BATCH_SECONDS = 0.05  # changes that come together are then told in one answer
@@ -32,7 +34,13 @@
     The listener is called with the names of the objects that changed or were deleted.
     """
 
-    def __init__(self, kind: str, store: DocumentStore, listener: Listener) -> None:
+    def __init__(
+        self,
+        kind: str,
+        store: DocumentStore,
+        listener: Listener,
+        on_broken_watch: Callable[[str], None] = lambda kind: None,
+    ) -> None:
         self.kind = kind
         self.documents_by_name: dict[str, StoredDocument] = {}
         self.at = 0
@@ -41,6 +49,20 @@
         self.is_connected = False
         self._store = store
         self._listener = listener
+        self._on_broken_watch = on_broken_watch
+        self._watch: asyncio.Task[DocumentChanges] | None = None
+        self._refreshed_at = 0.0
+
+    def refresh(self) -> None:
+        """Ask the store anew instead of waiting for the watch under way.
+
+        What broke the watch of one kind may have silenced those of the others.
+        """
+        now = asyncio.get_running_loop().time()
+        if self._watch is None or now - self._refreshed_at < REFRESH_PAUSE_SECONDS:
+            return
+        self._refreshed_at = now
+        self._watch.cancel()
 
     async def follow(self) -> None:
         """Keep the copy up to date until cancelled."""
@@ -55,10 +77,12 @@
             except HistoryGoneError as error:
                 logger.bind(kind=self.kind, at=self.at).warning('{}', error)
                 relist = True
+                self._on_broken_watch(self.kind)
                 continue
             except StoreError as error:
                 self._note_connection(False, str(error))
                 relist = relist or not self.is_loaded
+                self._on_broken_watch(self.kind)
                 await asyncio.sleep(pause * random.uniform(0.7, 1.3))
                 pause = min(2.0 * pause, MAX_PAUSE_SECONDS)
                 continue
@@ -97,7 +121,16 @@
 
     async def _watch_once(self) -> None:
         at = self.at
-        batch = await self._store.watch(self.kind, at, WATCH_SECONDS)
+        call = self._store.watch(self.kind, at, WATCH_SECONDS)
+        self._watch = asyncio.ensure_future(call)
+        try:
+            batch = await self._watch
+        except asyncio.CancelledError:
+            if _is_cancelling():
+                raise
+            return
+        finally:
+            self._watch = None
         self._note_connection(True, '')
         if self.at != at or batch.at < self.at:
             return
@@ -126,6 +159,11 @@
             log.warning('store lost: {}', reason)
 
 
+def _is_cancelling() -> bool:
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
 def _revision(documents_by_name: dict[str, StoredDocument], name: str) -> int | None:
     document = documents_by_name.get(name)
     return None if document is None else document.revision
--- a/packages/daisylift/src/daisylift/decisions/placement.py
+++ b/packages/daisylift/src/daisylift/decisions/placement.py
@@ -1,15 +1,20 @@
 """Chooses the backend server of a request by when its answer would be there.
 
 Load pattern: more work than slots, unevenly spread over regions, and servers that
-handle an object several times faster if they have handled it before. The choice
-compares expected finish times: distance, wait for a slot, work (warm or cold), and a
-price in seconds for answers that cross failure domains or regions. Rendezvous hashing
-breaks ties, so all nodes warm the same servers for an object without messages, and an
-object leaves its server only when another one would finish sooner.
+handle an object several times faster if they have handled it lately, but remember only
+so many objects. Spreading an object over all servers that have a free slot makes every
+one of them forget: runs get longer, slots get scarcer, and the overload feeds itself.
+So each object has a short list of servers, found by rendezvous hashing alone, and a
+request waits for one of these rather than start cold elsewhere. Light answers may come
+from the whole region and, when it is full, from another one; heavy answers come from
+the own failure domain first. Within the list, expected finish times decide: distance,
+wait for a slot, work (warm or cold), failures, and a price in seconds for answers that
+cross failure domains or regions.
 """
 
-from collections.abc import Collection, Iterable, Mapping, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Callable, Collection, Iterable, Mapping
+from dataclasses import dataclass
+from itertools import islice
 
 from xxhash import xxh3_64_intdigest
 
@@ -21,14 +26,15 @@
 FAR_SECONDS = 0.041  # round trip between regions
 DOMAIN_SECONDS_PER_BYTE = 2.0e-6  # what crossing a failure domain may cost in time
 REGION_SECONDS_PER_BYTE = 2.8e-6  # what crossing a region may cost in time
+HEAVY_SECONDS = 0.05  # answers that cost more than this to carry stay near
 HOME_QUEUE_SHARE = 0.25  # of the slots may wait at a server of the own region
-REGION_FIRST_PRIOR = 0.5  # chance that peers have warmed the region's first choice
-DOMAIN_FIRST_PRIOR = 0.35  # the same for the failure domain's first choice
-FAR_FIRST_PRIOR = 0.3  # the same for the first choice of another region
+FIRST_PRIOR = 0.7  # chance that the first server of a list knows an object
+OTHER_PRIOR = 0.4  # the same for the others of the list
 COLD_SLOWNESS = 2.0  # a server that has just started works about half as fast
 FAILURE_SECONDS = 1.0  # an expected failure weighs like this much waiting
-SHORTLIST_PER_REGION = 3
-SHORTLIST_NEAR = 4
+HOME_SERVERS = 2  # of an object, in its caller's region
+FAR_SERVERS = 1  # of an object, in other regions
+RANKED_SERVERS = 8  # kept of each ranking, to pass over servers that can't be used
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,10 +74,13 @@
     region: str
 
 
-@dataclass(slots=True)
-class _Shortlist:
-    candidates: list[Candidate] = field(default_factory=list)
-    priors_by_id: dict[str, float] = field(default_factory=dict)
+@dataclass(frozen=True, slots=True)
+class _Ranking:
+    """The servers of an object by hash, best first."""
+
+    near: list[Candidate]
+    home: list[Candidate]
+    far: list[Candidate]
 
 
 class ServicePlacer:
@@ -80,7 +89,7 @@
     def __init__(self, place: Place, candidates: Iterable[Candidate]) -> None:
         self._place = place
         self.candidates_by_id = {each.server.id: each for each in candidates}
-        self._shortlists_by_key: dict[str, _Shortlist] = {}
+        self._rankings_by_key: dict[str, _Ranking] = {}
 
     def choose(
         self,
@@ -95,41 +104,52 @@
         ``allowed`` names the regions that may serve, None means any. Servers whose id
         is in ``usable`` with False are left out.
         """
-        shortlist = self._shortlist(object_key)
-        best = self._best(
-            shortlist.candidates,
-            shortlist.priors_by_id,
-            object_key,
-            estimate,
-            allowed,
-            usable,
-            now,
-        )
-        if best is not None or len(shortlist.candidates) == len(self.candidates_by_id):
-            return best
-        everyone = list(self.candidates_by_id.values())
-        return self._best(everyone, {}, object_key, estimate, allowed, usable, now)
+
+        def can_use(candidate: Candidate) -> bool:
+            if allowed is not None and candidate.region not in allowed:
+                return False
+            if not usable.get(candidate.server.id, True):
+                return False
+            return not candidate.stats.is_suspended(now)
+
+        if object_key is None:
+            everyone = filter(can_use, self.candidates_by_id.values())
+            return self._best(everyone, None, estimate, now)
+        listed = self._listed(object_key, estimate, can_use)
+        return self._best(listed, object_key, estimate, now)
+
+    def _listed(
+        self,
+        object_key: str,
+        estimate: WorkEstimate,
+        can_use: Callable[[Candidate], bool],
+    ) -> list[Candidate]:
+        ranking = self._ranking(object_key)
+        is_heavy = estimate.answer_bytes * DOMAIN_SECONDS_PER_BYTE > HEAVY_SECONDS
+        own = ranking.near if is_heavy else ranking.home
+        listed = list(islice(filter(can_use, own), HOME_SERVERS))
+        if is_heavy:
+            others = (each for each in ranking.home if each not in listed)
+            listed += islice(filter(can_use, others), 1)
+        return listed + list(islice(filter(can_use, ranking.far), FAR_SERVERS))
 
     def _best(
         self,
-        candidates: Sequence[Candidate],
-        priors_by_id: Mapping[str, float],
+        candidates: Iterable[Candidate],
         object_key: str | None,
         estimate: WorkEstimate,
-        allowed: Collection[str] | None,
-        usable: Mapping[str, bool],
         now: float,
     ) -> Placement | None:
         best: Placement | None = None
         best_cost = 0.0
+        prior = FIRST_PRIOR
         for candidate in candidates:
             server, stats = candidate.server, candidate.stats
-            if allowed is not None and candidate.region not in allowed:
-                continue
-            if not usable.get(server.id, True) or not self._has_room(candidate, now):
-                continue
             seen = object_key is not None and stats.has_seen(object_key)
-            warm = stats.hit_rate if seen else priors_by_id.get(server.id, 0.0)
+            warm = stats.hit_rate if seen else prior
+            prior = OTHER_PRIOR
+            if not self._has_room(candidate, now):
+                continue
             work = warm * estimate.warm_seconds + (1.0 - warm) * estimate.cold_seconds
             work *= stats.slowness
             if stats.is_cold(now):
@@ -145,8 +165,6 @@
 
     def _has_room(self, candidate: Candidate, now: float) -> bool:
         stats = candidate.stats
-        if stats.is_suspended(now):
-            return False
         slots = stats.slots
         if candidate.region == self._place.region:
             limit = slots * (1.0 + HOME_QUEUE_SHARE)
@@ -176,38 +194,29 @@
             return estimate.answer_bytes * DOMAIN_SECONDS_PER_BYTE
         return estimate.answer_bytes * REGION_SECONDS_PER_BYTE
 
-    def _shortlist(self, object_key: str | None) -> _Shortlist:
-        if object_key is None:
-            return _Shortlist(candidates=list(self.candidates_by_id.values()))
-        found = self._shortlists_by_key.get(object_key)
+    def _ranking(self, object_key: str) -> _Ranking:
+        found = self._rankings_by_key.get(object_key)
         if found is None:
-            found = self._make_shortlist(object_key)
-            self._shortlists_by_key[object_key] = found
+            found = self._make_ranking(object_key)
+            self._rankings_by_key[object_key] = found
         return found
 
-    def _make_shortlist(self, object_key: str) -> _Shortlist:
+    def _make_ranking(self, object_key: str) -> _Ranking:
         ranked = sorted(
             self.candidates_by_id.values(),
             key=lambda each: _rank(object_key, each.server.id),
         )
-        shortlist = _Shortlist()
-        counts: dict[str, int] = {}
-        near = 0
-        for candidate in ranked:
-            server_id = candidate.server.id
-            in_domain = candidate.server.failure_domain == self._place.failure_domain
-            rank = counts.get(candidate.region, 0)
-            counts[candidate.region] = rank + 1
-            if rank == 0:
-                own = candidate.region == self._place.region
-                prior = REGION_FIRST_PRIOR if own else FAR_FIRST_PRIOR
-                shortlist.priors_by_id[server_id] = prior
-            elif in_domain and near == 0:
-                shortlist.priors_by_id[server_id] = DOMAIN_FIRST_PRIOR
-            if rank < SHORTLIST_PER_REGION or (in_domain and near < SHORTLIST_NEAR):
-                shortlist.candidates.append(candidate)
-            near += in_domain
-        return shortlist
+        place = self._place
+        near = [
+            each
+            for each in ranked
+            if each.server.failure_domain == place.failure_domain
+        ]
+        home = [each for each in ranked if each.region == place.region]
+        far = [each for each in ranked if each.region != place.region]
+        return _Ranking(
+            near[:RANKED_SERVERS], home[:RANKED_SERVERS], far[:RANKED_SERVERS]
+        )
 
 
 def _rank(object_key: str, server_id: str) -> int:
--- a/packages/daisylift/src/daisylift/decisions/waiting_room.py
+++ b/packages/daisylift/src/daisylift/decisions/waiting_room.py
@@ -13,6 +13,7 @@
 MAX_WAITING = 256  # of one service on one node; bounds memory, not policy
 MIN_RETRY_AFTER_SECONDS = 0.05
 MAX_RETRY_AFTER_SECONDS = 2.0
+MAX_WOKEN = 24  # tried for one free slot; bounds processor time under load
 RATE_WINDOW_SECONDS = 1.0
 
 
@@ -70,7 +71,8 @@
 
     def wake_next(self, now: float) -> None:
         """Wake waiters in order until one makes use of the free slot."""
-        for waiter in sorted(self.waiters, key=lambda each: each.order(now)):
+        ordered = sorted(self.waiters, key=lambda each: each.order(now))
+        for waiter in ordered[:MAX_WOKEN]:
             if waiter.wake():
                 self.remove(waiter)
                 return
--- /dev/null
+++ b/tests/test_liveness.py
@@ -0,0 +1,91 @@
+"""Entry VMs that stop making progress are lost; the directory names the ready ones."""
+
+import random
+
+from daisylift.decisions.entry_directory import entries_for
+from daisylift.decisions.liveness import LOST_SECONDS, Heartbeat, Liveness
+from daisylift.models.registered_server import EntryMember
+
+
+def a_member(name: str, domain: str, region: str) -> EntryMember:
+    return EntryMember(name, 1, domain, region, f'{name}:80', name, 7540)
+
+
+MEMBERS = [
+    a_member('a1', 'arusha-a', 'arusha'),
+    a_member('a2', 'arusha-a', 'arusha'),
+    a_member('b1', 'arusha-b', 'arusha'),
+    a_member('d1', 'dar-a', 'dar'),
+]
+
+
+def named(domain: str, region: str, lost: set[str]) -> list[str]:
+    return entries_for(region, domain, MEMBERS, lambda name: name not in lost)
+
+
+def test_own_failure_domain_first() -> None:
+    assert named('arusha-a', 'arusha', set()) == ['a1:80', 'a2:80']
+
+
+def test_then_the_region_then_all() -> None:
+    assert named('arusha-a', 'arusha', {'a1', 'a2'}) == ['b1:80']
+    assert named('arusha-a', 'arusha', {'a1', 'a2', 'b1'}) == ['d1:80']
+
+
+def test_a_caller_from_an_unknown_place_gets_all() -> None:
+    assert len(named('', '', set())) == len(MEMBERS)
+
+
+def test_a_silent_vm_is_lost_and_comes_back_with_a_new_incarnation() -> None:
+    liveness = Liveness('a1', 1)
+    liveness.hear([Heartbeat('b1', 5, 9, ready=True)], 0.0)
+    assert liveness.is_ready('b1', 0.5)
+    liveness.hear([Heartbeat('b1', 5, 9, ready=True)], LOST_SECONDS)
+    assert not liveness.is_alive('b1', LOST_SECONDS)
+    liveness.hear([Heartbeat('b1', 6, 1, ready=True)], LOST_SECONDS)
+    assert liveness.is_alive('b1', LOST_SECONDS)
+
+
+def test_a_stopping_vm_is_alive_but_not_ready() -> None:
+    liveness = Liveness('a1', 1)
+    liveness.hear([Heartbeat('b1', 5, 9, ready=True)], 0.0)
+    liveness.hear([Heartbeat('b1', 5, 10, ready=False)], 0.1)
+    assert liveness.is_alive('b1', 0.2)
+    assert not liveness.is_ready('b1', 0.2)
+
+
+def test_old_news_changes_nothing() -> None:
+    liveness = Liveness('a1', 1)
+    liveness.hear([Heartbeat('b1', 5, 9, ready=False)], 0.0)
+    liveness.hear([Heartbeat('b1', 5, 8, ready=True)], 0.1)
+    liveness.hear([Heartbeat('b1', 4, 99, ready=True)], 0.1)
+    assert not liveness.is_ready('b1', 0.2)
+
+
+def test_a_registered_vm_that_never_speaks_is_lost_soon() -> None:
+    liveness = Liveness('a1', 1)
+    liveness.expect('b1', 5, 0.0)
+    assert liveness.is_alive('b1', 0.1)
+    liveness.expect('b1', 5, LOST_SECONDS)
+    assert not liveness.is_alive('b1', LOST_SECONDS)
+
+
+def test_news_reaches_a_large_fleet_in_a_few_rounds() -> None:
+    choice = random.Random(7)
+    fleet = {f'n{i}': Liveness(f'n{i}', 1) for i in range(200)}
+    for liveness in fleet.values():
+        for name in fleet:
+            liveness.expect(name, 1, 0.0)
+    now = 0.0
+    for _ in range(40):
+        now += 0.25
+        for liveness in fleet.values():
+            news = liveness.news(now, choice)
+            for name in choice.sample(sorted(fleet), 4):
+                fleet[name].hear(news, now)
+    lost = sum(
+        not liveness.is_alive(name, now)
+        for liveness in fleet.values()
+        for name in fleet
+    )
+    assert lost <= 0.01 * len(fleet) ** 2
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,200 @@
+"""Placement: near and warm first, few servers for each object, bounded occupancy."""
+
+import random
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+import pytest
+
+from daisylift.decisions.placement import (
+    Candidate,
+    Place,
+    Placement,
+    ServicePlacer,
+    WorkEstimate,
+)
+from daisylift.decisions.server_stats import LoadReport, ServerStats
+from daisylift.models.registered_server import RegisteredServer
+
+LIGHT = WorkEstimate(warm_seconds=0.072, cold_seconds=0.24, answer_bytes=5000)
+HEAVY = WorkEstimate(warm_seconds=0.058, cold_seconds=0.19, answer_bytes=90_000)
+DOMAINS = {
+    'arusha-a': 'arusha',
+    'arusha-b': 'arusha',
+    'dar-a': 'dar',
+    'dar-b': 'dar',
+}
+
+
+def a_candidate(server_id: str, domain: str, slots: int = 6) -> Candidate:
+    server = RegisteredServer(
+        server_id, 'catalogue', 'h', 80, domain, slots, False, 0.0, 1
+    )
+    return Candidate(server, ServerStats(slots=slots), DOMAINS[domain])
+
+
+def a_fleet(per_domain: int = 4) -> list[Candidate]:
+    return [
+        a_candidate(f'{domain}-{number}', domain)
+        for domain in DOMAINS
+        for number in range(per_domain)
+    ]
+
+
+def choose(
+    placer: ServicePlacer,
+    key: str | None = 'safe/17',
+    estimate: WorkEstimate = LIGHT,
+    allowed: set[str] | None = None,
+    usable: dict[str, bool] | None = None,
+    now: float = 0.0,
+) -> Placement | None:
+    return placer.choose(key, estimate, allowed, usable or {}, now)
+
+
+def chosen_id(*arguments: object, **keywords: object) -> str:
+    placement = choose(*arguments, **keywords)  # type: ignore[arg-type]
+    assert placement is not None
+    return placement.server.id
+
+
+@pytest.fixture
+def placer() -> ServicePlacer:
+    return ServicePlacer(Place('arusha-a', 'arusha'), a_fleet())
+
+
+def test_all_nodes_of_a_region_choose_the_same_server() -> None:
+    first = ServicePlacer(Place('arusha-a', 'arusha'), a_fleet())
+    second = ServicePlacer(Place('arusha-b', 'arusha'), a_fleet())
+    for number in range(50):
+        key = f'safe/{number}'
+        assert chosen_id(first, key) == chosen_id(second, key)
+
+
+def test_light_answers_stay_in_the_region_heavy_ones_in_the_domain(
+    placer: ServicePlacer,
+) -> None:
+    for number in range(50):
+        assert chosen_id(placer, f'safe/{number}').startswith('arusha')
+        heavy = chosen_id(placer, f'download/{number}', HEAVY)
+        assert heavy.startswith('arusha-a')
+
+
+def test_home_regions_bind(placer: ServicePlacer) -> None:
+    assert chosen_id(placer, allowed={'dar'}).startswith('dar')
+    assert choose(placer, allowed={'mwanza'}) is None
+
+
+def test_a_full_region_overflows_to_one_far_server(placer: ServicePlacer) -> None:
+    for candidate in placer.candidates_by_id.values():
+        if candidate.region == 'arusha':
+            candidate.stats.in_flight = 2 * candidate.stats.slots
+    far = chosen_id(placer)
+    assert far.startswith('dar')
+    placer.candidates_by_id[far].stats.in_flight = 6
+    assert choose(placer) is None
+
+
+def test_an_object_never_spreads_over_more_than_its_list(placer: ServicePlacer) -> None:
+    used = set()
+    while (placement := choose(placer)) is not None:
+        placement.stats.started('safe/17')
+        used.add(placement.server.id)
+    assert len(used) <= 3
+
+
+def test_servers_that_can_not_be_used_are_passed_over(placer: ServicePlacer) -> None:
+    first = chosen_id(placer)
+    second = chosen_id(placer, usable={first: False})
+    assert second != first
+    placer.candidates_by_id[second].stats.unreachable(0.0)
+    third = chosen_id(placer, usable={first: False})
+    assert third not in (first, second)
+
+
+def test_what_other_nodes_send_counts(placer: ServicePlacer) -> None:
+    first = chosen_id(placer)
+    report = LoadReport(running=6, waiting=4, slots=6)
+    placer.candidates_by_id[first].stats.reported(report, 0.0)
+    assert chosen_id(placer, now=0.01) != first
+    assert chosen_id(placer, now=5.0) == first
+
+
+def test_slow_and_failing_servers_get_less(placer: ServicePlacer) -> None:
+    first = chosen_id(placer)
+    stats = placer.candidates_by_id[first].stats
+    for _ in range(30):
+        stats.answered(took=1.0, expected=0.24)
+    assert chosen_id(placer) != first
+    stats.slowness = 1.0
+    for _ in range(4):
+        stats.failed(0.0)
+    assert chosen_id(placer) != first
+    assert chosen_id(placer, now=30.0) == first
+
+
+def test_a_lost_server_moves_only_its_own_objects() -> None:
+    fleet = a_fleet()
+    place = Place('arusha-a', 'arusha')
+    before = ServicePlacer(place, fleet)
+    after = ServicePlacer(place, fleet[1:])
+    for number in range(100):
+        key = f'safe/{number}'
+        was = chosen_id(before, key)
+        if was != fleet[0].server.id:
+            assert chosen_id(after, key) == was
+
+
+@dataclass
+class ModelServer:
+    """A server with slots that remembers the objects it handled last."""
+
+    slots: int
+    keeps: int
+    running: list[float] = field(default_factory=list)
+    warm: 'OrderedDict[str, None]' = field(default_factory=OrderedDict)
+
+    def run(self, key: str, now: float) -> float:
+        """Return when the request ends."""
+        self.running = [end for end in self.running if end > now]
+        work = LIGHT.warm_seconds if key in self.warm else LIGHT.cold_seconds
+        self.warm[key] = None
+        self.warm.move_to_end(key)
+        while len(self.warm) > self.keeps:
+            self.warm.popitem(last=False)
+        start = now
+        if len(self.running) >= self.slots:
+            start = sorted(self.running)[-self.slots]
+        self.running.append(start + work)
+        return start + work
+
+
+def test_overload_does_not_make_servers_forget() -> None:
+    """Replays demand of 1.2 times the cold capacity: most runs must be warm.
+
+    Spreading over all servers with a free slot served a fifth in time at this load.
+    """
+    choice = random.Random(5)
+    fleet = a_fleet(per_domain=2)
+    placer = ServicePlacer(Place('arusha-a', 'arusha'), fleet)
+    models = {each.server.id: ModelServer(6, keeps=48) for each in fleet}
+    ends: list[tuple[float, ServerStats]] = []
+    now = 0.0
+    in_time = asked = 0
+    while now < 20.0:
+        now += choice.expovariate(240.0)
+        for end, stats in [each for each in ends if each[0] <= now]:
+            stats.ended()
+            ends.remove((end, stats))
+        key = f'safe/{choice.randrange(129)}'
+        placement = choose(placer, key, now=now)
+        if now > 4.0:
+            asked += 1
+        if placement is None:
+            continue
+        placement.stats.started(key)
+        end = models[placement.server.id].run(key, now)
+        ends.append((end, placement.stats))
+        if now > 4.0:
+            in_time += end - now <= 0.16
+    assert in_time / asked > 0.8
--- /dev/null
+++ b/tests/test_replica.py
@@ -0,0 +1,180 @@
+"""Copies of the store: kept up to date, only forward, and renewed when in doubt."""
+
+import asyncio
+from collections.abc import Mapping
+from typing import Any
+
+import pytest
+
+from daisylift_node.version import replica as replica_module
+from daisylift_node.version.documents import (
+    DocumentChange,
+    DocumentChanges,
+    DocumentListing,
+    HistoryGoneError,
+    StoredDocument,
+    StoreError,
+)
+from daisylift_node.version.replica import Replica
+
+
+def a_document(name: str, revision: int, body: Any = None) -> StoredDocument:
+    return StoredDocument(name, revision, body)
+
+
+class MemoryStore:
+    """A store of one kind; watches can be made deaf, broken or without history."""
+
+    def __init__(self) -> None:
+        self.at = 1
+        self.documents: dict[str, StoredDocument] = {}
+        self.changes: list[tuple[int, DocumentChange]] = []
+        self.history_from = 0
+        self.failure: StoreError | None = None
+        self.is_deaf = False
+        self.lists = 0
+        self._changed = asyncio.Event()
+
+    def write(self, name: str, body: Any = None) -> None:
+        """Write an object."""
+        self.at += 1
+        self.documents[name] = a_document(name, self.at, body)
+        self._note(DocumentChange(self.documents[name], deleted=False))
+
+    def remove(self, name: str) -> None:
+        """Delete an object."""
+        self.at += 1
+        document = self.documents.pop(name)
+        self._note(DocumentChange(document, deleted=True))
+
+    def forget_history(self) -> None:
+        """Answer watches from before with HistoryGoneError."""
+        self.history_from = self.at
+
+    async def list(self, kind: str) -> DocumentListing:
+        self.lists += 1
+        if self.failure is not None:
+            raise self.failure
+        return DocumentListing(self.at, tuple(self.documents.values()))
+
+    async def watch(self, kind: str, at: int, wait_seconds: float) -> DocumentChanges:
+        if self.failure is not None:
+            raise self.failure
+        if at < self.history_from:
+            raise HistoryGoneError('gone')
+        deadline = asyncio.get_running_loop().time() + wait_seconds
+        while True:
+            news = [change for when, change in self.changes if when > at]
+            if news and not self.is_deaf:
+                return DocumentChanges(self.at, tuple(news))
+            left = deadline - asyncio.get_running_loop().time()
+            if left <= 0:
+                return DocumentChanges(at, ())
+            self._changed.clear()
+            try:
+                await asyncio.wait_for(self._changed.wait(), left)
+            except TimeoutError:
+                continue
+
+    async def put(self, kind: str, name: str, body: Mapping[str, Any]) -> None:
+        self.write(name, body)
+
+    async def delete(self, kind: str, name: str, revision: int) -> None:
+        self.remove(name)
+
+    def _note(self, change: DocumentChange) -> None:
+        self.changes.append((self.at, change))
+        self._changed.set()
+
+
+class Followed:
+    """A replica that follows a memory store while a test runs."""
+
+    def __init__(self, store: MemoryStore) -> None:
+        self.heard: list[str] = []
+        self.broken: list[str] = []
+        self.replica = Replica('servers', store, self.heard.extend, self.broken.append)
+
+    async def __aenter__(self) -> 'Followed':
+        self._task = asyncio.create_task(self.replica.follow())
+        await asyncio.sleep(0.02)
+        return self
+
+    async def __aexit__(self, *exception: object) -> None:
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
+
+@pytest.fixture
+def store(monkeypatch: pytest.MonkeyPatch) -> MemoryStore:
+    monkeypatch.setattr(replica_module, 'BATCH_SECONDS', 0.0)
+    monkeypatch.setattr(replica_module, 'FIRST_PAUSE_SECONDS', 0.01)
+    monkeypatch.setattr(replica_module, 'REFRESH_PAUSE_SECONDS', 0.0)
+    return MemoryStore()
+
+
+async def test_changes_and_deletions_are_followed(store: MemoryStore) -> None:
+    store.write('i-1')
+    async with Followed(store) as followed:
+        store.write('i-2')
+        store.write('i-1', 'changed')
+        await asyncio.sleep(0.02)
+        store.remove('i-2')
+        await asyncio.sleep(0.02)
+        assert set(followed.replica.documents_by_name) == {'i-1'}
+        assert followed.replica.documents_by_name['i-1'].body == 'changed'
+        assert followed.heard.count('i-2') == 2
+
+
+async def test_lost_history_leads_to_a_new_list_and_is_told(store: MemoryStore) -> None:
+    store.write('i-1')
+    async with Followed(store) as followed:
+        store.is_deaf = True
+        store.remove('i-1')
+        store.write('i-2')
+        store.forget_history()
+        await asyncio.sleep(0.02)
+        store.is_deaf = False
+        followed.replica.refresh()
+        await asyncio.sleep(0.03)
+        assert set(followed.replica.documents_by_name) == {'i-2'}
+        assert followed.broken == ['servers']
+
+
+async def test_a_deaf_watch_is_renewed_on_request(store: MemoryStore) -> None:
+    async with Followed(store) as followed:
+        store.is_deaf = True
+        store.write('i-1')
+        await asyncio.sleep(0.02)
+        assert not followed.replica.documents_by_name
+        store.is_deaf = False
+        followed.replica.refresh()
+        await asyncio.sleep(0.02)
+        assert set(followed.replica.documents_by_name) == {'i-1'}
+
+
+async def test_an_outage_keeps_the_copy_and_ends(store: MemoryStore) -> None:
+    store.write('i-1')
+    async with Followed(store) as followed:
+        store.failure = StoreError('down')
+        followed.replica.refresh()
+        await asyncio.sleep(0.03)
+        assert set(followed.replica.documents_by_name) == {'i-1'}
+        assert not followed.replica.is_connected
+        store.failure = None
+        store.write('i-2')
+        await asyncio.sleep(0.1)
+        assert set(followed.replica.documents_by_name) == {'i-1', 'i-2'}
+        assert followed.replica.is_connected
+
+
+async def test_a_copy_of_a_peer_is_taken_only_forward(store: MemoryStore) -> None:
+    store.write('i-1')
+    async with Followed(store) as followed:
+        replica = followed.replica
+        at = replica.at
+        assert not replica.adopt(DocumentListing(at - 1, ()), 'peer')
+        newer = DocumentListing(at + 5, (a_document('i-9', at + 5),))
+        assert replica.adopt(newer, 'peer')
+        assert set(replica.documents_by_name) == {'i-9'}
+        assert followed.heard[-2:] != []
--- /dev/null
+++ b/tests/test_route_table.py
@@ -0,0 +1,74 @@
+"""Routes by host and longest prefix; destinations by weight."""
+
+from collections import Counter
+
+import pytest
+
+from daisylift.decisions.route_table import DestinationDealer, RouteTable
+from daisylift.models.desired_state import DesiredState, Destination, Route, WorkKind
+
+
+def a_route(prefix: str, *destinations: Destination, host: str = 'a.example') -> Route:
+    return Route(
+        name=f'{host}{prefix}',
+        host=host,
+        path_prefix=prefix,
+        kind=WorkKind.SAFE,
+        destinations=destinations or (Destination('catalogue', 1),),
+        max_servers=2,
+        timeout_seconds=1.0,
+        target_seconds=0.2,
+        priority=1,
+        sticky=True,
+    )
+
+
+@pytest.fixture
+def table() -> RouteTable:
+    routes = (a_route('/x/'), a_route('/x/y/'), a_route('/', host='b.example'))
+    return RouteTable(DesiredState(version=1, routes=routes))
+
+
+@pytest.mark.parametrize(
+    ('host', 'target', 'prefix'),
+    [
+        ('a.example', '/x/1', '/x/'),
+        ('a.example', '/x/y/1', '/x/y/'),
+        ('a.example', '/x/y', '/x/'),
+        ('a.example', '/x/y/?q=/x/z/', '/x/y/'),
+        ('A.Example:80', '/x/', '/x/'),
+        ('b.example', '/anything', '/'),
+    ],
+)
+def test_longest_prefix_wins(
+    table: RouteTable, host: str, target: str, prefix: str
+) -> None:
+    route = table.match(host, target)
+    assert route is not None
+    assert route.path_prefix == prefix
+
+
+@pytest.mark.parametrize(
+    ('host', 'target'),
+    [('a.example', '/x'), ('a.example', '/'), ('c.example', '/x/'), ('', '*')],
+)
+def test_no_route(table: RouteTable, host: str, target: str) -> None:
+    assert table.match(host, target) is None
+
+
+def test_weights_hold_over_short_spans() -> None:
+    route = a_route('/', Destination('catalogue', 90), Destination('till', 10))
+    dealer = DestinationDealer()
+    dealt = Counter(dealer.deal(route) for _ in range(20))
+    assert dealt == {'catalogue': 18, 'till': 2}
+
+
+def test_a_changed_split_forgets_destinations_that_are_gone() -> None:
+    dealer = DestinationDealer()
+    before = a_route('/', Destination('catalogue', 1), Destination('till', 1))
+    after = a_route('/', Destination('plates', 1), Destination('till', 1))
+    for _ in range(3):
+        dealer.deal(before)
+    dealt = Counter(dealer.deal(after) for _ in range(10))
+    assert set(dealt) == {'plates', 'till'}
+    assert abs(dealt['plates'] - dealt['till']) <= 1
--- /dev/null
+++ b/tests/test_server_connection.py
@@ -0,0 +1,131 @@
+"""Answers are whole and their own, or they are not answers."""
+
+import asyncio
+
+import pytest
+
+from daisylift_node.connection.server_connection import (
+    ExchangeLostError,
+    NotSentError,
+    ServerRequest,
+)
+from daisylift_node.connection.server_pool import ServerPool
+from tests.fakes.scripted_server import Script, ScriptedServer, http_answer
+
+
+def a_request(body: bytes = b'') -> ServerRequest:
+    method = b'POST' if body else b'GET'
+    headers = [(b'Host', b'a.example'), (b'Request-Id', b'r-1')]
+    return ServerRequest(method, b'/x/1?q=%2F', headers, body)
+
+
+WHOLE = http_answer(b'whole', 'r-1')
+
+
+async def exchange_all(server: ScriptedServer, count: int = 1) -> list[bytes]:
+    pool = ServerPool()
+    bodies = []
+    for _ in range(count):
+        answer = await pool.exchange(server.registration(), a_request(), True)
+        bodies.append(answer.body)
+    pool.close()
+    return bodies
+
+
+async def test_a_connection_is_kept_for_the_next_request() -> None:
+    async with ScriptedServer([Script(WHOLE), Script(WHOLE)]) as server:
+        assert await exchange_all(server, 2) == [b'whole', b'whole']
+        assert server.connections == 1
+        assert server.requests[0].startswith(b'GET /x/1?q=%2F HTTP/1.1\r\n')
+
+
+@pytest.mark.parametrize(
+    'extra', [b'x', http_answer(b'crossed', 'r-0'), b'HTTP/1.1 200 OK\r\n\r\n']
+)
+async def test_bytes_after_an_answer_end_the_connection(extra: bytes) -> None:
+    async with ScriptedServer([Script(WHOLE + extra), Script(WHOLE)]) as server:
+        assert await exchange_all(server, 2) == [b'whole', b'whole']
+        assert server.connections == 2
+
+
+async def test_late_bytes_end_the_idle_connection() -> None:
+    script = Script(WHOLE, late=http_answer(b'crossed', 'r-0'), late_seconds=0.01)
+    async with ScriptedServer([script, Script(WHOLE)]) as server:
+        pool = ServerPool()
+        await pool.exchange(server.registration(), a_request(), True)
+        await asyncio.sleep(0.1)
+        answer = await pool.exchange(server.registration(), a_request(), True)
+        assert answer.body == b'whole'
+        assert server.connections == 2
+        pool.close()
+
+
+@pytest.mark.parametrize(
+    'script',
+    [
+        Script(WHOLE[:-2], close=True),
+        Script(WHOLE[:-2], reset=True),
+        Script(WHOLE[:20], close=True),
+        Script(b'', close=True),
+        Script(b'no answer at all\r\n\r\n', close=True),
+        Script(b'HTTP/1.1 200 OK\r\n\r\npart', reset=True),
+        Script(b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab', close=True),
+    ],
+)
+async def test_a_broken_answer_is_lost(script: Script) -> None:
+    async with ScriptedServer([script]) as server:
+        with pytest.raises(ExchangeLostError):
+            await exchange_all(server)
+
+
+async def test_an_answer_without_length_ends_with_its_connection() -> None:
+    script = Script(b'HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\n\r\nall of it', close=True)
+    async with ScriptedServer([script]) as server:
+        assert await exchange_all(server) == [b'all of it']
+
+
+async def test_an_early_answer_to_a_long_body_ends_the_connection() -> None:
+    early = http_answer(b'no', 'r-1', '400 Bad Request')
+    script = Script(early, before_body=True)
+    async with ScriptedServer([script, Script(WHOLE)]) as server:
+        pool = ServerPool()
+        long_request = a_request(b'x' * 8_000_000)
+        answer = await pool.exchange(server.registration(), long_request, False)
+        assert answer.status == 400
+        answer = await pool.exchange(server.registration(), a_request(), True)
+        assert answer.body == b'whole'
+        assert server.connections == 2
+        pool.close()
+
+
+async def test_no_connection_means_not_sent() -> None:
+    async with ScriptedServer([]) as server:
+        registration = server.registration()
+    with pytest.raises(NotSentError):
+        await ServerPool().exchange(registration, a_request(), True)
+
+
+async def test_a_cancelled_request_closes_its_connection() -> None:
+    async with ScriptedServer([Script(WHOLE, after_seconds=5.0)]) as server:
+        pool = ServerPool()
+        task = asyncio.create_task(
+            pool.exchange(server.registration(), a_request(), True)
+        )
+        await asyncio.sleep(0.05)
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+        assert pool._kept(('i-1', 1), True) is None
+
+
+async def test_what_must_not_repeat_avoids_connections_idle_for_long(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr('daisylift_node.connection.server_pool.FRESH_SECONDS', 0.01)
+    async with ScriptedServer([Script(WHOLE)] * 2) as server:
+        pool = ServerPool()
+        await pool.exchange(server.registration(), a_request(), True)
+        await asyncio.sleep(0.03)
+        await pool.exchange(server.registration(), a_request(b'pay'), False)
+        assert server.connections == 2
+        pool.close()
