Bound how fast requests move to other regions, and spare small regions' memories

Ruled out: faults; none was near. Change: a pure governor on each VM lets the share that leaves the region follow placement at half of the allowed slope, both ways; a test replays cold starts and waves. Change: a region holds an object twice only with six servers or more.

--- a/packages/daisylift-node/src/daisylift_node/process/entry_application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_application.py
@@ -10,6 +10,7 @@
 from daisylift.decisions.cold_rate import ColdRate, ColdTerms
 from daisylift.decisions.entry_directory import entries_for
 from daisylift.decisions.placement import Place
+from daisylift.decisions.region_shift import RegionShift
 from daisylift.decisions.retry_budget import RetryBudget, RetryTerms
 from daisylift.models.desired_state import CallerLimits
 from daisylift.models.registered_server import EntryMember
@@ -80,6 +81,7 @@
             PlatformDialect(),
             RetryBudget(terms),
             cold_rate,
+            RegionShift(bounds.max_region_shift),
             self._clock,
         )
         self.handler = EntryHandler(
--- a/packages/daisylift-node/src/daisylift_node/request/steering.py
+++ b/packages/daisylift-node/src/daisylift_node/request/steering.py
@@ -9,6 +9,7 @@
 
 from daisylift.decisions.cold_rate import ColdRate
 from daisylift.decisions.placement import Placement
+from daisylift.decisions.region_shift import RegionShift, Side
 from daisylift.decisions.retry_budget import RetryBudget
 from daisylift.decisions.server_stats import ServerStats
 from daisylift.decisions.waiting_room import (
@@ -80,6 +81,7 @@
         dialect: Dialect,
         budget: RetryBudget,
         cold_rate: ColdRate,
+        shift: RegionShift,
         clock: Callable[[], float],
     ) -> None:
         self._view = view
@@ -87,6 +89,7 @@
         self._dialect = dialect
         self._budget = budget
         self._cold_rate = cold_rate
+        self._shift = shift
         self._clock = clock
         self._estimates = WorkEstimates()
         self.rooms_by_service: dict[str, WaitingRoom] = {}
@@ -125,19 +128,34 @@
         placer = self._view.placer(call.service)
         usable = self._view.cold_without_room(placer, now)
         usable.update(dict.fromkeys(call.tried, False))
-        placement = placer.choose(
-            call.object_key,
-            self._work(call).estimate(),
-            call.route.home_regions or None,
-            usable,
-            now,
-        )
+
+        def choose(side: Side) -> Placement | None:
+            estimate = self._work(call).estimate()
+            homes = call.route.home_regions or None
+            return placer.choose(call.object_key, estimate, homes, usable, now, side)
+
+        placement = self._within_shift(choose, now)
         if placement is not None:
+            self._shift.sent(placement.is_far, now)
             placement.stats.started(call.object_key)
             if placement.stats.is_cold(now):
                 self._cold_rate.note_send(placement.server.id, now)
         return placement
 
+    def _within_shift(
+        self, choose: Callable[[Side], Placement | None], now: float
+    ) -> Placement | None:
+        wanted = choose(Side.ANY)
+        if wanted is None:
+            return None
+        side = self._shift.want(wanted.is_far, now)
+        if side is Side.ANY:
+            return wanted
+        allowed = choose(side)
+        if allowed is None and side is Side.FAR:
+            return wanted
+        return allowed
+
     async def _place(self, call: Call) -> Placement | Outcome:
         room = self._room(call.service)
         if not room.waiters:
--- a/packages/daisylift/src/daisylift/decisions/placement.py
+++ b/packages/daisylift/src/daisylift/decisions/placement.py
@@ -18,6 +18,7 @@
 
 from xxhash import xxh3_64_intdigest
 
+from daisylift.decisions.region_shift import Side
 from daisylift.decisions.server_stats import ServerStats
 from daisylift.models.registered_server import RegisteredServer
 
@@ -32,8 +33,9 @@
 OTHER_PRIOR = 0.4  # the same for the others of the list
 COLD_SLOWNESS = 2.0  # a server that has just started works about half as fast
 FAILURE_SECONDS = 1.0  # an expected failure weighs like this much waiting
-HOME_SERVERS = 2  # of an object, in its caller's region
-FAR_SERVERS = 1  # of an object, in other regions
+SERVERS_PER_OBJECT = 3  # more make servers forget, fewer can't share a hot object
+MAX_HOME_SERVERS = 2  # of these, in the caller's region
+FLEET_PER_HOME_SERVER = 3  # a small region holds each object once, or it forgets
 RANKED_SERVERS = 8  # kept of each ranking, to pass over servers that can't be used
 
 
@@ -52,6 +54,7 @@
 
     server: RegisteredServer
     stats: ServerStats
+    is_far: bool
     finish_seconds: float
     work_seconds: float
     was_seen: bool
@@ -98,16 +101,19 @@
         allowed: Collection[str] | None,
         usable: Mapping[str, bool],
         now: float,
+        side: Side = Side.ANY,
     ) -> Placement | None:
         """Return the best server that has room, or None.
 
         ``allowed`` names the regions that may serve, None means any. Servers whose id
-        is in ``usable`` with False are left out.
+        is in ``usable`` with False are left out, and those not on the ``side``.
         """
 
         def can_use(candidate: Candidate) -> bool:
             if allowed is not None and candidate.region not in allowed:
                 return False
+            if side is not Side.ANY and self.is_far(candidate) != (side is Side.FAR):
+                return False
             if not usable.get(candidate.server.id, True):
                 return False
             return not candidate.stats.is_suspended(now)
@@ -118,6 +124,10 @@
         listed = self._listed(object_key, estimate, can_use)
         return self._best(listed, object_key, estimate, now)
 
+    def is_far(self, candidate: Candidate) -> bool:
+        """Say whether the server is in another region."""
+        return candidate.region != self._place.region
+
     def _listed(
         self,
         object_key: str,
@@ -127,11 +137,13 @@
         ranking = self._ranking(object_key)
         is_heavy = estimate.answer_bytes * DOMAIN_SECONDS_PER_BYTE > HEAVY_SECONDS
         own = ranking.near if is_heavy else ranking.home
-        listed = list(islice(filter(can_use, own), HOME_SERVERS))
+        count = max(1, min(MAX_HOME_SERVERS, len(own) // FLEET_PER_HOME_SERVER))
+        listed = list(islice(filter(can_use, own), count))
         if is_heavy:
             others = (each for each in ranking.home if each not in listed)
             listed += islice(filter(can_use, others), 1)
-        return listed + list(islice(filter(can_use, ranking.far), FAR_SERVERS))
+        far = SERVERS_PER_OBJECT - len(listed)
+        return listed + list(islice(filter(can_use, ranking.far), far))
 
     def _best(
         self,
@@ -159,7 +171,8 @@
             cost = finish + self._transfer_cost(candidate, estimate)
             cost += FAILURE_SECONDS * stats.failure_rate(now)
             if best is None or cost < best_cost:
-                best = Placement(server, stats, finish, work, seen)
+                far = self.is_far(candidate)
+                best = Placement(server, stats, far, finish, work, seen)
                 best_cost = cost
         return best
 
--- /dev/null
+++ b/tests/test_region_shift.py
@@ -0,0 +1,67 @@
+"""The share of requests that leave their region moves at a bounded slope."""
+
+import random
+from collections import deque
+
+import pytest
+
+from daisylift.decisions.region_shift import RegionShift, Side
+
+MAX_SHIFT = 0.15
+
+
+def replay(wanted_share: list[tuple[float, float]], per_second: float) -> list[float]:
+    """Return the far share of each 2 s window, from what placement wants over time.
+
+    ``wanted_share`` gives, from each moment on, the share that placement wants far.
+    """
+    choice = random.Random(3)
+    shift = RegionShift(MAX_SHIFT)
+    recent: deque[tuple[float, bool]] = deque()
+    shares = []
+    now, end = 0.0, wanted_share[-1][0] + 8.0
+    while now < end:
+        now += choice.expovariate(per_second)
+        share = [share for moment, share in wanted_share if moment <= now][-1]
+        far = choice.random() < share
+        side = shift.want(far, now)
+        if side is not Side.ANY:
+            far = side is Side.FAR
+        shift.sent(far, now)
+        recent.append((now, far))
+        while recent[0][0] < now - 4.0:
+            recent.popleft()
+        old = [each for when, each in recent if when < now - 2.0]
+        new = [each for when, each in recent if when >= now - 2.0]
+        if now > 4.0:
+            shares.append(abs(sum(new) / len(new) - sum(old) / len(old)))
+    return shares
+
+
+@pytest.mark.parametrize('per_second', [80.0, 250.0])
+@pytest.mark.parametrize(
+    'wanted',
+    [
+        [(0.0, 0.65), (2.0, 0.2)],
+        [(0.0, 0.0), (6.0, 0.8)],
+        [(0.0, 0.1), (5.0, 0.7), (7.0, 0.1), (9.0, 0.7)],
+    ],
+)
+def test_no_window_moves_more_than_allowed(
+    wanted: list[tuple[float, float]], per_second: float
+) -> None:
+    assert max(replay(wanted, per_second)) <= MAX_SHIFT
+
+
+def test_the_share_gets_where_placement_wants_it() -> None:
+    shift = RegionShift(MAX_SHIFT)
+    now, sent = 0.0, []
+    for step in range(4000):
+        now = step * 0.01
+        wanted = now > 3.0
+        side = shift.want(wanted, now)
+        far = wanted if side is Side.ANY else side is Side.FAR
+        shift.sent(far, now)
+        sent.append(far)
+    assert not any(sent[:300])
+    assert sum(sent[-300:]) >= 290
