--- a/packages/daisylift-node/src/daisylift_node/entry_core.py
+++ b/packages/daisylift-node/src/daisylift_node/entry_core.py
@@ -48,22 +48,20 @@
 async def _serve(settings: EntrySettings, lines: BoundedLines, path: Path) -> None:
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
+    application = EntryApplication(settings, lines)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, _reload, path)
-    application = EntryApplication(settings, lines)
+    loop.add_signal_handler(signal.SIGHUP, _reload, application, path)
     await application.start()
     await stopping.wait()
     await application.stop()
 
 
-def _reload(path: Path) -> None:
+def _reload(application: EntryApplication, path: Path) -> None:
     try:
-        load_entry_settings(path)
+        application.reload(load_entry_settings(path))
     except SettingsError as error:
-        logger.error('settings not reloaded: {}', error)
-        return
-    logger.info('settings reloaded; addresses change with the next start')
+        logger.error('settings not reloaded, the old ones stay: {}', error)
 
 
 def run() -> None:
--- a/packages/daisylift-node/src/daisylift_node/platform/headers.py
+++ b/packages/daisylift-node/src/daisylift_node/platform/headers.py
@@ -1,5 +1,6 @@
 """The headers of callers and of backend servers on the platform."""
 
+import math
 from collections.abc import Iterable, Mapping
 
 from daisylift.decisions.server_stats import LoadReport
@@ -54,9 +55,10 @@
     if milliseconds is None:
         return None
     try:
-        return max(0.0, float(milliseconds) / MILLISECONDS)
+        seconds = float(milliseconds) / MILLISECONDS
     except ValueError:
         return None
+    return max(0.0, seconds) if math.isfinite(seconds) else None
 
 
 def _load(text: str | None) -> LoadReport | None:
--- a/packages/daisylift-node/src/daisylift_node/process/entry_application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_application.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from dataclasses import replace
 
 from aiohttp import web
 from loguru import logger
@@ -31,6 +32,8 @@
 LOG_SECONDS = 0.2
 IDLE_SECONDS = 1.0
 REGISTER_PAUSE_SECONDS = 0.5
+LOADED_POLL_SECONDS = 0.02  # a VM that has just started is wanted at once
+REMOVE_LOST_SECONDS = 15.0
 LISTEN_BACKLOG = 1024
 STOP_ACCEPT_SHARE = 0.5  # of the grace: callers have heard of other VMs by then
 STOP_MARGIN_SECONDS = 0.4  # of the grace is left for the end of the process
@@ -124,9 +127,15 @@
         self.timer.subscribe(WAKE_SECONDS, self._wake)
         self.timer.subscribe(LAPSE_SECONDS, self.view.expire_lapsed)
         self.timer.subscribe(IDLE_SECONDS, self.pool.close_idle)
+        self.timer.subscribe(REMOVE_LOST_SECONDS, self._remove_lost)
         self.timer.subscribe(LOG_SECONDS, self._lines.drain)
         logger.bind(incarnation=self.member.incarnation).info('started')
 
+    def reload(self, settings: EntrySettings) -> None:
+        """Take over what can change while running: the regions of failure domains."""
+        self.view.region_by_domain = settings.domains
+        logger.bind(domains=len(settings.domains)).info('settings reloaded')
+
     async def stop(self) -> None:
         """Stop without cutting a request: first unready, then deaf, then gone."""
         grace = self.settings.bounds.grace_s
@@ -163,19 +172,47 @@
         self.steering.wake_all()
 
     async def _register(self) -> None:
-        body = self._documents.member_body(self.member)
+        """Keep this VM registered, also after somebody took it for lost."""
         while True:
+            if not self.view.members.is_loaded:
+                await asyncio.sleep(LOADED_POLL_SECONDS)
+                continue
+            registered = self.view.members_by_name.get(self.member.name)
+            if registered == self.member:
+                await asyncio.sleep(REGISTER_PAUSE_SECONDS)
+                continue
+            if registered is not None:
+                self._outnumber(registered.incarnation)
+            body = self._documents.member_body(self.member)
+            kind = self._documents.member_kind
             try:
-                await self.store.put(
-                    self._documents.member_kind, self.member.name, body
-                )
+                await self.store.put(kind, self.member.name, body)
             except StoreError as error:
                 logger.warning('not registered yet: {}', error)
-                pause = REGISTER_PAUSE_SECONDS * random.uniform(0.7, 1.3)
-                await asyncio.sleep(pause)
-                continue
-            logger.info('registered')
+            else:
+                logger.bind(incarnation=self.member.incarnation).info('registered')
+            await asyncio.sleep(REGISTER_PAUSE_SECONDS * random.uniform(0.7, 1.3))
+
+    def _outnumber(self, incarnation: int) -> None:
+        """Exceed an earlier incarnation, even if the clock has been set back."""
+        if incarnation < self.member.incarnation:
             return
+        self.member = replace(self.member, incarnation=incarnation + 1)
+        self.peers.liveness.incarnation = self.member.incarnation
+
+    async def _remove_lost(self) -> None:
+        """Remove the registrations of VMs that were lost long ago."""
+        for name in self.peers.long_lost():
+            document = self.view.members.documents_by_name.get(name)
+            if document is None:
+                continue
+            kind = self._documents.member_kind
+            try:
+                await self.store.delete(kind, name, document.revision)
+            except StoreError as error:
+                logger.bind(member=name).warning('not removed: {}', error)
+            else:
+                logger.bind(member=name).info('member removed: lost for long')
 
     def _limits(self) -> CallerLimits:
         routes = self.view.routes
--- a/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
+++ b/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
@@ -121,6 +121,18 @@
         """Say whether the entry VM is alive and takes callers."""
         return self.liveness.is_ready(name, self._clock())
 
+    def long_lost(self) -> list[str]:
+        """Return the VMs to remove, if this VM is the one to do it.
+
+        The first live VM by name does it, so that the store gets one call for each.
+        """
+        now = self._clock()
+        names = sorted(self._view.members_by_name)
+        live = [name for name in names if self.liveness.is_alive(name, now)]
+        if not live or live[0] != self._member.name:
+            return []
+        return [name for name in names if self.liveness.is_long_lost(name, now)]
+
     def _compare(self, replica: Replica, revision: Any, url: str, now: float) -> None:
         kind = replica.kind
         if not isinstance(revision, int):
--- a/packages/daisylift/src/daisylift/decisions/liveness.py
+++ b/packages/daisylift/src/daisylift/decisions/liveness.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 LOST_SECONDS = 2.0  # without progress; eight heartbeats of 250 ms
+LONG_LOST_SECONDS = 120.0  # longer than a restart or a cut of a rack usually lasts
 MAX_NEWS = 40  # VMs told of in one datagram, so that it stays below 1,400 bytes
 START_GRACE_SECONDS = 2.0  # until a newly registered VM must have been heard of
 
@@ -70,6 +71,11 @@
         record = self._records_by_name.get(name)
         return record is not None and now - record.heard_at < LOST_SECONDS
 
+    def is_long_lost(self, name: str, now: float) -> bool:
+        """Say whether the VM has been silent for so long that it won't come back."""
+        record = self._records_by_name.get(name)
+        return record is not None and now - record.heard_at > LONG_LOST_SECONDS
+
     def is_ready(self, name: str, now: float) -> bool:
         """Say whether the VM is alive and takes callers."""
         if name == self.name:
--- /dev/null
+++ b/tests/entry_world.py
@@ -0,0 +1,185 @@
+"""An entry VM in the test's own process, between a stand-in store and servers."""
+
+import asyncio
+import socket
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import aiohttp
+import yarl
+
+from daisylift_node.entry_config import EntrySettings
+from daisylift_node.process.entry_application import EntryApplication
+from tests.fakes.object_store import FakeObjectStore
+from tests.fakes.scripted_server import ScriptedServer
+
+HOST = 'a.example'
+SETTLE_SECONDS = 0.15
+
+
+class DiscardedLines:
+    """A log stream that nobody reads."""
+
+    dropped = 0
+
+    async def drain(self) -> None:
+        """Do nothing."""
+
+
+def free_port() -> int:
+    """Return a loopback port that is free at the moment."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return int(probe.getsockname()[1])
+
+
+def a_rule(
+    prefix: str, service: str, kind: str = 'safe', **action: Any
+) -> dict[str, Any]:
+    """Return a routing rule as operators write it."""
+    return {
+        'name': f'r{prefix}',
+        'kind': kind,
+        'target_latency_ms': 200,
+        'priority': 1,
+        'sticky': True,
+        'match': {'path_prefix': prefix},
+        'action': {
+            'service': service,
+            'timeout_ms': 1000,
+            'attempts': 2,
+            'home_regions': [],
+            **action,
+        },
+    }
+
+
+def a_config(version: int, *rules: dict[str, Any]) -> dict[str, Any]:
+    """Return a desired state as operators write it."""
+    return {
+        'version': f'{version:08x}',
+        'limits': {'body_bytes': 100_000, 'idle_timeout_ms': 15000},
+        'listeners': [{'host': HOST, 'rules': list(rules)}],
+        'clusters': [
+            {'name': name, 'health_path': '/health', 'cold_per_s': 19.0}
+            for name in ('catalogue', 'till')
+        ],
+    }
+
+
+def a_registration(
+    server: ScriptedServer, service: str = 'catalogue', **changes: Any
+) -> dict[str, Any]:
+    """Return a backend server's registration as it writes it."""
+    return {
+        'service': service,
+        'address': f'127.0.0.1:{server.port}',
+        'zone': 'arusha-a',
+        'version': 'v1',
+        'slots': 4,
+        'state': 'ready',
+        'cold_remaining_ms': 0,
+        'sequence': 1,
+        'born': 1,
+        **changes,
+    }
+
+
+@dataclass(slots=True)
+class Reply:
+    """What the caller got."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+@dataclass(slots=True)
+class EntryWorld:
+    """One entry VM, a store, and a caller."""
+
+    store: FakeObjectStore = field(default_factory=FakeObjectStore)
+    name: str = 'entry-1'
+    grace_seconds: float = 0.5
+    application: EntryApplication | None = None
+    caller: aiohttp.ClientSession | None = None
+    owns_store: bool = True
+
+    async def __aenter__(self) -> 'EntryWorld':
+        if self.owns_store:
+            await self.store.start()
+        ports = {
+            name: f'127.0.0.1:{free_port()}'
+            for name in ('caller', 'readiness', 'directory')
+        }
+        settings = EntrySettings.model_validate(
+            {
+                'vm': {
+                    'id': self.name,
+                    'host': '127.0.0.1',
+                    'failure_domain': 'arusha-a',
+                    'region': 'arusha',
+                },
+                'listen': {**ports, 'metrics_port': free_port()},
+                'peer': {'port': free_port()},
+                'store': {'address': f'127.0.0.1:{self.store.port}'},
+                'domains': {'arusha-a': 'arusha', 'dar-a': 'dar'},
+                'limits': {'memory_mb': 300, 'file_descriptors': 4000},
+                'bounds': {'grace_s': self.grace_seconds},
+            }
+        )
+        lines: Any = DiscardedLines()
+        self.application = EntryApplication(settings, lines)
+        await self.application.start()
+        self.caller = aiohttp.ClientSession()
+        await asyncio.sleep(SETTLE_SECONDS)
+        return self
+
+    async def __aexit__(self, *exception: object) -> None:
+        assert self.application is not None
+        assert self.caller is not None
+        await self.caller.close()
+        if not self.application.handler.is_stopping:
+            await self.application.stop()
+        if self.owns_store:
+            await self.store.stop()
+
+    async def configure(self, version: int, *rules: dict[str, Any]) -> None:
+        """Write a desired state and let it be taken over."""
+        self.store.write('config', 'main', a_config(version, *rules))
+        await asyncio.sleep(SETTLE_SECONDS)
+
+    async def register(self, **registrations: dict[str, Any]) -> None:
+        """Write registrations, by id, and let them be taken over."""
+        for name, registration in registrations.items():
+            self.store.write('servers', name.replace('_', '-'), registration)
+        await asyncio.sleep(SETTLE_SECONDS)
+
+    async def ask(
+        self, method: str = 'GET', path: str = '/x/1', **keywords: Any
+    ) -> Reply:
+        """Send a request as a caller and return the whole reply."""
+        assert self.application is not None
+        assert self.caller is not None
+        address = self.application.settings.listen.caller
+        headers = {
+            'Host': HOST,
+            'Request-Id': 'r-1',
+            'Affinity-Key': '17',
+            'Deadline-Milliseconds': '1500',
+            **keywords.pop('headers', {}),
+        }
+        url = yarl.URL(f'http://{address}{path}', encoded=True)
+        async with self.caller.request(
+            method, url, headers=headers, **keywords
+        ) as answer:
+            return Reply(answer.status, dict(answer.headers), await answer.read())
+
+    async def look(self, listener: str, path: str) -> Reply:
+        """Ask the readiness or directory address."""
+        assert self.application is not None
+        assert self.caller is not None
+        address = getattr(self.application.settings.listen, listener)
+        async with self.caller.get(f'http://{address}{path}') as answer:
+            return Reply(answer.status, dict(answer.headers), await answer.read())
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -89,3 +89,11 @@
         for name in fleet
     )
     assert lost <= 0.01 * len(fleet) ** 2
+
+
+def test_only_long_silence_makes_a_vm_long_lost() -> None:
+    liveness = Liveness('a1', 1)
+    liveness.hear([Heartbeat('b1', 5, 9, ready=True)], 0.0)
+    assert not liveness.is_long_lost('b1', 10.0)
+    assert liveness.is_long_lost('b1', 1000.0)
+    assert not liveness.is_long_lost('never-heard-of', 1000.0)
--- /dev/null
+++ b/tests/test_platform_documents.py
@@ -0,0 +1,163 @@
+"""Documents of the platform's store, decoded once; those of other writers refused."""
+
+from typing import Any
+
+import pytest
+
+from daisylift.models.desired_state import Destination, WorkKind
+from daisylift.models.registered_server import EntryMember
+from daisylift_node.platform import PlatformDialect, PlatformDocuments
+from daisylift_node.version.documents import DocumentError
+
+DOCUMENTS = PlatformDocuments()
+SERVER = {
+    'service': 'catalogue',
+    'address': '10.1.64.3:8447',
+    'zone': 'arusha-a',
+    'version': 'v1',
+    'slots': 6,
+    'state': 'ready',
+    'cold_remaining_ms': 1500,
+    'sequence': 4,
+    'born': 1_778_858_963_007,
+}
+RULE: dict[str, Any] = {
+    'name': 'r-1',
+    'kind': 'safe',
+    'target_latency_ms': 200,
+    'priority': 2,
+    'sticky': True,
+    'match': {'path_prefix': '/x/'},
+    'action': {
+        'service': 'catalogue',
+        'timeout_ms': 1000,
+        'attempts': 2,
+        'home_regions': ['arusha'],
+    },
+}
+CONFIG: dict[str, Any] = {
+    'version': '0000001a',
+    'limits': {
+        'header_bytes': 16384,
+        'body_bytes': 1000,
+        'header_timeout_ms': 3000,
+        'idle_timeout_ms': 15000,
+    },
+    'listeners': [{'host': 'A.example', 'rules': [RULE]}],
+    'clusters': [
+        {
+            'name': 'catalogue',
+            'health_path': '/health',
+            'max_connections': 330,
+            'cold_start_s': 3.0,
+            'cold_per_s': 19.0,
+        }
+    ],
+}
+
+
+def test_a_server_is_decoded() -> None:
+    server = DOCUMENTS.server('i-1', SERVER)
+    assert (server.host, server.port) == ('10.1.64.3', 8447)
+    assert server.failure_domain == 'arusha-a'
+    assert server.cold_seconds == 1.5
+    assert not server.leaving
+    assert server.started_at_ms == 1_778_858_963_007
+
+
+def test_a_leaving_server_is_told_apart() -> None:
+    assert DOCUMENTS.server('i-1', {**SERVER, 'state': 'draining'}).leaving
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        None,
+        [],
+        'text',
+        {},
+        {**SERVER, 'slots': '6'},
+        {**SERVER, 'slots': 0},
+        {**SERVER, 'state': 'asleep'},
+        {**SERVER, 'address': 'nowhere'},
+        {**SERVER, 'address': ':80'},
+        {**SERVER, 'service': ''},
+        {key: value for key, value in SERVER.items() if key != 'zone'},
+    ],
+)
+def test_a_registration_of_another_writer_is_refused(body: Any) -> None:
+    with pytest.raises(DocumentError):
+        DOCUMENTS.server('i-1', body)
+
+
+def test_a_desired_state_is_decoded() -> None:
+    state = DOCUMENTS.desired_state(CONFIG)
+    assert state.version == 0x1A
+    (route,) = state.routes
+    assert route.host == 'a.example'
+    assert route.kind is WorkKind.SAFE
+    assert route.destinations == (Destination('catalogue', 1),)
+    assert (route.timeout_seconds, route.target_seconds) == (1.0, 0.2)
+    assert route.home_regions == {'arusha'}
+    assert state.limits.body_bytes == 1000
+    assert state.services_by_name['catalogue'].cold_requests_per_second == 19.0
+
+
+def test_a_split_keeps_its_weights() -> None:
+    split = [{'service': 'a', 'weight': 90}, {'service': 'b', 'weight': 10}]
+    action = {'traffic_split': split, 'timeout_ms': 1000, 'attempts': 2}
+    rule = {**RULE, 'action': action}
+    config = {**CONFIG, 'listeners': [{'host': 'a', 'rules': [rule]}]}
+    (route,) = DOCUMENTS.desired_state(config).routes
+    assert route.destinations == (Destination('a', 90), Destination('b', 10))
+
+
+def test_an_unknown_kind_is_not_repeated() -> None:
+    config = {**CONFIG, 'listeners': [{'host': 'a', 'rules': [{**RULE, 'kind': 'x'}]}]}
+    (route,) = DOCUMENTS.desired_state(config).routes
+    assert route.kind is WorkKind.UNSAFE
+
+
+@pytest.mark.parametrize(
+    'body', [None, {}, {**CONFIG, 'version': 'xyz'}, {**CONFIG, 'listeners': [{}]}]
+)
+def test_a_desired_state_that_can_not_be_read_is_refused(body: Any) -> None:
+    with pytest.raises(DocumentError):
+        DOCUMENTS.desired_state(body)
+
+
+def test_members_come_back_as_they_went() -> None:
+    member = EntryMember('a', 5, 'arusha-a', 'arusha', 'h:80', 'h', 7540)
+    assert DOCUMENTS.member('a', DOCUMENTS.member_body(member)) == member
+
+
+def test_the_time_left_and_the_expected_server_replace_what_the_caller_said() -> None:
+    headers = [
+        (b'Host', b'a.example'),
+        (b'DEADLINE-MILLISECONDS', b'9000'),
+        (b'Target-Instance', b'i-evil'),
+        (b'X-Other', b'1'),
+    ]
+    sent = PlatformDialect().request_headers(headers, 'i-1', 0.25)
+    assert (b'Deadline-Milliseconds', b'250') in sent
+    assert (b'Target-Instance', b'i-1') in sent
+    assert (b'X-Other', b'1') in sent
+    assert len(sent) == 4
+
+
+@pytest.mark.parametrize('text', ['soon', '', 'nan', 'inf', '-inf'])
+def test_a_time_limit_that_can_not_be_read_is_none(text: str) -> None:
+    terms = PlatformDialect().read_request({'Deadline-Milliseconds': text})
+    assert terms.time_left_seconds is None
+
+
+@pytest.mark.parametrize('load', ['', '1,2', 'a,b,c'])
+def test_a_load_that_can_not_be_read_is_none(load: str) -> None:
+    assert PlatformDialect().read_answer(200, {'server-load': load}).load is None
+
+
+def test_answers_that_were_not_run_are_told() -> None:
+    dialect = PlatformDialect()
+    assert dialect.read_answer(503, {'not-executed': '1'}).is_not_run
+    assert dialect.read_answer(421, {}).is_not_run
+    assert not dialect.read_answer(503, {}).is_not_run
--- /dev/null
+++ b/tests/test_store_client.py
@@ -0,0 +1,133 @@
+"""The store's client against the stand-in, with each way in which a call fails."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+
+from daisylift_node.platform import StoreClient
+from daisylift_node.platform import store as store_module
+from daisylift_node.version.documents import (
+    ConflictError,
+    HistoryGoneError,
+    StoreError,
+)
+from tests.fakes.object_store import PAGE_ITEMS, FakeObjectStore
+
+
+@pytest.fixture
+async def fake() -> AsyncIterator[FakeObjectStore]:
+    fake = FakeObjectStore()
+    await fake.start()
+    yield fake
+    await fake.stop()
+
+
+@pytest.fixture
+async def client(fake: FakeObjectStore) -> AsyncIterator[StoreClient]:
+    client = StoreClient('127.0.0.1', fake.port)
+    await client.start()
+    yield client
+    await client.stop()
+
+
+async def test_a_list_follows_pages(fake: FakeObjectStore, client: StoreClient) -> None:
+    for number in range(2 * PAGE_ITEMS + 1):
+        fake.write('servers', f'i-{number:04}', {'n': number})
+    fake.write('config', 'main', {})
+    listing = await client.list('servers')
+    assert len(listing.documents) == 2 * PAGE_ITEMS + 1
+    assert listing.at == fake.revision
+    assert listing.documents[3].body == {'n': 3}
+
+
+async def test_a_watch_tells_changes_and_deletions(
+    fake: FakeObjectStore, client: StoreClient
+) -> None:
+    at = fake.write('servers', 'i-1', {})
+    watch = asyncio.create_task(client.watch('servers', at, 5.0))
+    await asyncio.sleep(0.05)
+    fake.remove('servers', 'i-1')
+    changes = await watch
+    assert [change.deleted for change in changes.changes] == [True]
+    assert changes.at == fake.revision
+
+
+async def test_a_watch_without_changes_ends(
+    fake: FakeObjectStore, client: StoreClient
+) -> None:
+    changes = await client.watch('servers', fake.revision, 0.05)
+    assert changes.changes == ()
+
+
+async def test_history_that_is_gone_is_told(
+    fake: FakeObjectStore, client: StoreClient
+) -> None:
+    at = fake.revision
+    fake.write('servers', 'i-1', {})
+    fake.forget_history()
+    with pytest.raises(HistoryGoneError):
+        await client.watch('servers', at, 1.0)
+
+
+async def test_put_creates_and_replaces(
+    fake: FakeObjectStore, client: StoreClient
+) -> None:
+    await client.put('members', 'a', {'incarnation': 1})
+    await client.put('members', 'a', {'incarnation': 2})
+    assert fake.objects['members', 'a']['specification'] == {'incarnation': 2}
+
+
+async def test_a_lost_answer_is_an_error_and_the_call_can_be_repeated(
+    fake: FakeObjectStore, client: StoreClient
+) -> None:
+    fake.faults.lose_answers = 1
+    with pytest.raises(StoreError):
+        await client.put('members', 'a', {'incarnation': 1})
+    await client.put('members', 'a', {'incarnation': 1})
+    assert fake.objects['members', 'a']['specification'] == {'incarnation': 1}
+
+
+async def test_delete_holds_to_its_revision(
+    fake: FakeObjectStore, client: StoreClient
+) -> None:
+    revision = fake.write('members', 'a', {})
+    fake.write('members', 'a', {'incarnation': 2})
+    with pytest.raises(ConflictError):
+        await client.delete('members', 'a', revision)
+    assert ('members', 'a') in fake.objects
+
+
+@pytest.mark.parametrize('status', [429, 500, 503])
+async def test_a_refusal_is_an_error(
+    fake: FakeObjectStore, client: StoreClient, status: int
+) -> None:
+    fake.faults.status = status
+    with pytest.raises(StoreError, match=str(status)):
+        await client.list('servers')
+
+
+async def test_silence_is_an_error(
+    fake: FakeObjectStore, client: StoreClient, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(store_module, 'CALL_TIMEOUT_SECONDS', 0.05)
+    monkeypatch.setattr(store_module, 'WATCH_MARGIN_SECONDS', 0.05)
+    fake.faults.silent = True
+    with pytest.raises(StoreError):
+        await client.watch('servers', 1, 0.05)
+
+
+async def test_a_reset_is_an_error(fake: FakeObjectStore, client: StoreClient) -> None:
+    fake.faults.reset = True
+    with pytest.raises(StoreError):
+        await client.list('servers')
+
+
+@pytest.mark.parametrize(
+    'answer', [b'', b'[]', b'{', b'{"items": 1}', b'{"items": [7], "at": 1}']
+)
+def test_an_answer_that_can_not_be_read_is_an_error(answer: bytes) -> None:
+    with pytest.raises(StoreError):
+        page = store_module._read_answer('GET /servers', 200, answer)
+        for item in store_module._field(page, 'items', list):
+            store_module._document(item)
