Keep each object at one server of its region and one elsewhere

Cause: copies of an object at more servers push others out of their memories. Ruled out: hot objects, which one server's slots carry at these rates.

--- a/packages/daisylift/src/daisylift/decisions/placement.py
+++ b/packages/daisylift/src/daisylift/decisions/placement.py
@@ -33,9 +33,8 @@
 OTHER_PRIOR = 0.4  # the same for the others of the list
 COLD_SLOWNESS = 2.0  # a server that has just started works about half as fast
 FAILURE_SECONDS = 1.0  # an expected failure weighs like this much waiting
-SERVERS_PER_OBJECT = 3  # more make servers forget, fewer can't share a hot object
-MAX_HOME_SERVERS = 2  # of these, in the caller's region
-FLEET_PER_HOME_SERVER = 3  # a small region holds each object once, or it forgets
+HOME_SERVERS = 1  # of an object, in its caller's region; more, and servers forget
+FAR_SERVERS = 1  # of an object, in other regions, for when the first is full
 RANKED_SERVERS = 8  # kept of each ranking, to pass over servers that can't be used
 
 
@@ -137,13 +136,11 @@
         ranking = self._ranking(object_key)
         is_heavy = estimate.answer_bytes * DOMAIN_SECONDS_PER_BYTE > HEAVY_SECONDS
         own = ranking.near if is_heavy else ranking.home
-        count = max(1, min(MAX_HOME_SERVERS, len(own) // FLEET_PER_HOME_SERVER))
-        listed = list(islice(filter(can_use, own), count))
+        listed = list(islice(filter(can_use, own), HOME_SERVERS))
         if is_heavy:
             others = (each for each in ranking.home if each not in listed)
-            listed += islice(filter(can_use, others), 1)
-        far = SERVERS_PER_OBJECT - len(listed)
-        return listed + list(islice(filter(can_use, ranking.far), far))
+            listed += islice(filter(can_use, others), HOME_SERVERS)
+        return listed + list(islice(filter(can_use, ranking.far), FAR_SERVERS))
 
     def _best(
         self,
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -100,7 +100,7 @@
     while (placement := choose(placer)) is not None:
         placement.stats.started('safe/17')
         used.add(placement.server.id)
-    assert len(used) <= 3
+    assert len(used) == 2
 
 
 def test_servers_that_can_not_be_used_are_passed_over(placer: ServicePlacer) -> None:
