Keep the cost of watching and gossip from growing with the fleet

Cause: by the design so far, 930 VMs with four watches of 2.5 s make 1,490 reads a second idle, three quarters of what the store takes, and JSON heartbeats of 40 VMs to four peers each 250 ms are 26 KB/s a VM; the target allows 6 KB/s. Derived, not run. Change: above 40 VMs, four of each failure domain watch (28 of 930); the others hear of news by gossip and fetch just the changes from a peer. Datagrams are 13 bytes a VM, go to two peers of the own failure domain and one other, and stay below 6 KB/s by a test.

--- a/packages/daisylift-node/src/daisylift_node/process/entry_application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_application.py
@@ -31,6 +31,7 @@
 LAPSE_SECONDS = 0.2
 LOG_SECONDS = 0.2
 IDLE_SECONDS = 1.0
+INCARNATIONS_PER_SECOND = 2  # a restart takes longer; 32 bits last until 2038
 REGISTER_PAUSE_SECONDS = 0.5
 LOADED_POLL_SECONDS = 0.02  # a VM that has just started is wanted at once
 REMOVE_LOST_SECONDS = 15.0
@@ -64,7 +65,7 @@
         )
         self.member = EntryMember(
             name=vm.id,
-            incarnation=time.time_ns() // 1_000_000,
+            incarnation=int(time.time() * INCARNATIONS_PER_SECOND),
             failure_domain=vm.failure_domain,
             region=vm.region,
             caller_address=str(settings.listen.caller),
--- a/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
+++ b/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import json
 import random
 from collections.abc import Callable
 from typing import Any, cast
@@ -14,18 +13,37 @@
 from aiohttp import web
 from loguru import logger
 
-from daisylift.decisions.liveness import Heartbeat, Liveness
+from daisylift.decisions.fleet_roles import (
+    SMALL_FLEET,
+    gossip_targets,
+    watches_store,
+)
+from daisylift.decisions.liveness import (
+    FAR_LOST_SECONDS,
+    LARGE_FLEET_LOST_SECONDS,
+    Liveness,
+)
 from daisylift.models.registered_server import EntryMember
-from daisylift_node.version.documents import DocumentListing, StoredDocument
+from daisylift_node.connection.gossip_codec import (
+    GossipError,
+    decode,
+    encode,
+    name_hash,
+)
+from daisylift_node.version.documents import (
+    DocumentChange,
+    DocumentChanges,
+    DocumentListing,
+    StoredDocument,
+)
 from daisylift_node.version.fleet_view import FleetView
 from daisylift_node.version.replica import Replica
 
 GOSSIP_SECONDS = 0.25
-FANOUT = 4  # peers told each time; news reaches a thousand VMs in six rounds
 BEHIND_SECONDS = 0.3  # a watch of its own has usually caught up by then
 FETCH_TIMEOUT_SECONDS = 1.0
-MAX_DATAGRAM_BYTES = 8192
 COPY_PATH = '/copies/{kind}'
+SINCE_QUERY = 'since'
 
 
 class PeerExchange(asyncio.DatagramProtocol):
@@ -44,6 +62,7 @@
         self._runner: web.ServerRunner | None = None
         self._behind_since_by_kind: dict[str, float] = {}
         self._fetches: dict[str, asyncio.Task[None]] = {}
+        view.watches_store = self.watches_store
 
     async def start(self) -> None:
         """Listen for peers on the peer port, UDP and TCP."""
@@ -74,52 +93,63 @@
 
     def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
         """Take over heartbeats and compare revisions."""
+        names_by_hash = {name_hash(name): name for name in self._view.members_by_name}
         try:
-            message = json.loads(data)
-            heartbeats = [Heartbeat(*entry) for entry in message['beats']]
-            revisions = dict(message['revisions'])
-            host, port = message['from']
-        except (ValueError, KeyError, TypeError) as error:
+            gossip = decode(data, names_by_hash)
+        except GossipError as error:
             logger.bind(peer=address[0]).warning('datagram not readable: {}', error)
             return
         now = self._clock()
-        self.liveness.hear(heartbeats, now)
-        for kind, revision in revisions.items():
-            replica = self._view.replicas_by_kind.get(kind)
-            if replica is not None:
-                self._compare(replica, revision, f'http://{host}:{port}', now)
+        self.liveness.hear(gossip.heartbeats, now)
+        url = f'http://{address[0]}:{address[1]}'
+        replicas = self._view.replicas_by_kind.values()
+        for replica, revision in zip(replicas, gossip.revisions, strict=False):
+            self._compare(replica, revision, url, now)
 
     async def gossip(self) -> None:
         """Tell some peers."""
         if self._transport is None:
             return
         now = self._clock()
-        for member in self._view.members_by_name.values():
+        members = self._view.members_by_name.values()
+        for member in members:
             self.liveness.expect(member.name, member.incarnation, now)
-        peers = [
-            member
-            for member in self._view.members_by_name.values()
-            if member.name != self._member.name
-        ]
-        message = {
-            'from': [self._member.peer_host, self._member.peer_port],
-            'beats': [
-                [each.name, each.incarnation, each.counter, each.ready]
-                for each in self.liveness.news(now, self._choice)
-            ],
-            'revisions': {
-                kind: replica.changed_at
-                for kind, replica in self._view.replicas_by_kind.items()
-                if replica.is_loaded
-            },
-        }
-        data = json.dumps(message, separators=(',', ':')).encode()
-        for peer in self._choice.sample(peers, min(FANOUT, len(peers))):
+        if not self._is_small_fleet():
+            self.liveness.lost_seconds = LARGE_FLEET_LOST_SECONDS
+        data = encode(
+            self.liveness.news(now, self._choice, self._near_names()),
+            [each.changed_at for each in self._view.replicas_by_kind.values()],
+        )
+        for peer in gossip_targets(self._member, members, self._choice):
             self._transport.sendto(data, (peer.peer_host, peer.peer_port))
 
     def is_ready(self, name: str) -> bool:
         """Say whether the entry VM is alive and takes callers."""
-        return self.liveness.is_ready(name, self._clock())
+        return self.liveness.is_ready(name, self._clock(), self._lost_seconds(name))
+
+    def watches_store(self) -> bool:
+        """Say whether this VM should keep watching the store itself."""
+        now = self._clock()
+        members = self._view.members_by_name
+        live = {name for name in members if self.liveness.is_alive(name, now)}
+        return watches_store(self._member, members.values(), live)
+
+    def _near_names(self) -> list[str]:
+        members = self._view.members_by_name.values()
+        if self._is_small_fleet():
+            return [member.name for member in members]
+        domain = self._member.failure_domain
+        return [each.name for each in members if each.failure_domain == domain]
+
+    def _lost_seconds(self, name: str) -> float:
+        member = self._view.members_by_name.get(name)
+        is_near = member is None or member.failure_domain == self._member.failure_domain
+        if is_near or self._is_small_fleet():
+            return self.liveness.lost_seconds
+        return FAR_LOST_SECONDS
+
+    def _is_small_fleet(self) -> bool:
+        return len(self._view.members_by_name) <= SMALL_FLEET
 
     def long_lost(self) -> list[str]:
         """Return the VMs to remove, if this VM is the one to do it.
@@ -133,10 +163,8 @@
             return []
         return [name for name in names if self.liveness.is_long_lost(name, now)]
 
-    def _compare(self, replica: Replica, revision: Any, url: str, now: float) -> None:
+    def _compare(self, replica: Replica, revision: int, url: str, now: float) -> None:
         kind = replica.kind
-        if not isinstance(revision, int):
-            return
         if replica.is_loaded and revision <= replica.at:
             self._behind_since_by_kind.pop(kind, None)
             return
@@ -147,39 +175,69 @@
             task.add_done_callback(lambda _: self._fetches.pop(kind, None))
 
     async def _fetch(self, replica: Replica, url: str) -> None:
-        path = COPY_PATH.format(kind=replica.kind)
         if self._session is None:
             return
+        since = replica.at
+        query = {SINCE_QUERY: str(since)} if replica.is_loaded else {}
+        path = COPY_PATH.format(kind=replica.kind)
         try:
-            async with self._session.get(url + path) as answer:
-                listing = _read_listing(await answer.json())
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+            async with self._session.get(url + path, params=query) as answer:
+                copy = _read_copy(await answer.json())
+        except (aiohttp.ClientError, OSError, ValueError) as error:
             logger.bind(kind=replica.kind, peer=url).warning(
-                'copy not fetched: {}', error or type(error).__name__
+                'copy not fetched: {}', str(error) or type(error).__name__
             )
             return
-        if replica.adopt(listing, url):
+        if isinstance(copy, DocumentChanges):
+            taken = replica.apply(copy, since)
+        else:
+            taken = replica.adopt(copy, url)
+        if taken:
             self._behind_since_by_kind.pop(replica.kind, None)
+            logger.bind(kind=replica.kind, at=replica.at, peer=url).info(
+                'news taken from a peer'
+            )
 
     async def _serve_copy(self, request: web.BaseRequest) -> web.Response:
         kind = request.path.rpartition('/')[2]
         replica = self._view.replicas_by_kind.get(kind)
         if replica is None or not replica.is_loaded:
             return web.Response(status=404)
+        since = request.query.get(SINCE_QUERY, '')
+        changes = replica.changes_since(int(since)) if since.isdigit() else None
+        if changes is not None:
+            return web.json_response(
+                {
+                    'at': changes.at,
+                    'changes': [
+                        [_entry(each.document), each.deleted]
+                        for each in changes.changes
+                    ],
+                }
+            )
         listing = replica.listing()
         return web.json_response(
             {
                 'at': listing.at,
-                'documents': [
-                    [each.name, each.revision, each.body] for each in listing.documents
-                ],
+                'documents': [_entry(each) for each in listing.documents],
             }
         )
 
 
-def _read_listing(answer: Any) -> DocumentListing:
+def _entry(document: StoredDocument) -> list[Any]:
+    return [document.name, document.revision, document.body]
+
+
+def _read_copy(answer: Any) -> DocumentListing | DocumentChanges:
     try:
-        documents = tuple(StoredDocument(*entry) for entry in answer['documents'])
-        return DocumentListing(at=int(answer['at']), documents=documents)
+        at = int(answer['at'])
+        if 'changes' not in answer:
+            documents = tuple(StoredDocument(*each) for each in answer['documents'])
+            return DocumentListing(at=at, documents=documents)
+        changes = tuple(
+            DocumentChange(StoredDocument(*entry), bool(deleted))
+            for entry, deleted in answer['changes']
+        )
+        return DocumentChanges(at=at, changes=changes)
     except (KeyError, TypeError) as error:
         raise ValueError(f'the copy can not be read: {error}') from error
--- a/packages/daisylift-node/src/daisylift_node/version/fleet_view.py
+++ b/packages/daisylift-node/src/daisylift_node/version/fleet_view.py
@@ -54,6 +54,7 @@
         self._store = store
         self._cold_rate = cold_rate
         self._clock = clock
+        self.watches_store: Callable[[], bool] = lambda: True
         self._known_by_id: dict[str, _KnownServer] = {}
         self._placers_by_service: dict[str, ServicePlacer] = {}
         self._on_change: list[Callable[[], None]] = []
@@ -127,7 +128,13 @@
             self._rebuild({known.server.service for known in gone})
 
     def _replica(self, kind: str, listener: Listener) -> Replica:
-        return Replica(kind, self._store, listener, self._refresh_others)
+        return Replica(
+            kind,
+            self._store,
+            listener,
+            self._refresh_others,
+            lambda: self.watches_store(),
+        )
 
     def _refresh_others(self, broken_kind: str) -> None:
         for kind, replica in self.replicas_by_kind.items():
--- a/packages/daisylift-node/src/daisylift_node/version/replica.py
+++ b/packages/daisylift-node/src/daisylift_node/version/replica.py
@@ -6,11 +6,13 @@
 
 import asyncio
 import random
+from collections import deque
 from collections.abc import Callable, Iterable
 
 from loguru import logger
 
 from daisylift_node.version.documents import (
+    DocumentChange,
     DocumentChanges,
     DocumentListing,
     DocumentStore,
@@ -20,6 +22,8 @@
 )
 
 WATCH_SECONDS = 2.5  # a watch that has gone deaf is noticed within this time
+RARE_PAUSE_SECONDS = 20.0  # between a VM's own looks while peers keep it up to date
+MAX_RECENT_CHANGES = 1000  # kept to tell peers what is new instead of everything
 REFRESH_PAUSE_SECONDS = 0.5  # between renewals, so that copies don't renew in turns
 PROBE_SECONDS = 0.3  # the same while the store does not answer: a lost call shows soon
 FIRST_PAUSE_SECONDS = 0.1  # after a call that failed
@@ -41,6 +45,7 @@
         store: DocumentStore,
         listener: Listener,
         on_interruption: Callable[[str], None] = lambda kind: None,
+        watches_store: Callable[[], bool] = lambda: True,
     ) -> None:
         self.kind = kind
         self.documents_by_name: dict[str, StoredDocument] = {}
@@ -51,6 +56,11 @@
         self._store = store
         self._listener = listener
         self._on_interruption = on_interruption
+        self._watches_store = watches_store
+        self._recent: deque[tuple[int, DocumentChange]] = deque(
+            maxlen=MAX_RECENT_CHANGES
+        )
+        self._complete_from = 0
         self._watch: asyncio.Task[DocumentChanges] | None = None
         self._refreshed_at = 0.0
         self._was_lost = False
@@ -92,6 +102,9 @@
                 continue
             self._note_connection(True, '')
             pause = FIRST_PAUSE_SECONDS
+            if not self._watches_store():
+                spread = random.uniform(0.8, 1.2)
+                await asyncio.sleep(RARE_PAUSE_SECONDS * spread)
 
     def adopt(self, listing: DocumentListing, source: str) -> bool:
         """Replace the copy by a listing that is newer; say whether it was taken."""
@@ -106,6 +119,8 @@
         ]
         self.documents_by_name = after
         self.at = listing.at
+        self._recent.clear()
+        self._complete_from = listing.at
         self.changed_at = max(
             [self.changed_at, *(each.revision for each in listing.documents)]
         )
@@ -123,6 +138,34 @@
             at=self.at, documents=tuple(self.documents_by_name.values())
         )
 
+    def changes_since(self, at: int) -> DocumentChanges | None:
+        """Return the changes after the revision, or None if not all are kept."""
+        oldest = self._recent[0][0] if self._recent else self.at
+        is_full = len(self._recent) == MAX_RECENT_CHANGES
+        if at < self._complete_from or (is_full and at < oldest):
+            return None
+        changes = tuple(change for when, change in self._recent if when > at)
+        return DocumentChanges(at=self.at, changes=changes)
+
+    def apply(self, batch: DocumentChanges, since: int) -> bool:
+        """Take over the changes after a revision; say whether they followed on."""
+        if not self.is_loaded or self.at != since or batch.at < self.at:
+            return False
+        names = []
+        for change in batch.changes:
+            name = change.document.name
+            names.append(name)
+            self._recent.append((batch.at, change))
+            if change.deleted:
+                self.documents_by_name.pop(name, None)
+            else:
+                self.documents_by_name[name] = change.document
+        self.at = batch.at
+        if names:
+            self.changed_at = batch.at
+            self._listener(names)
+        return True
+
     async def _watch_once(self) -> None:
         at = self.at
         seconds = WATCH_SECONDS if self.is_connected else PROBE_SECONDS
@@ -137,20 +180,7 @@
         finally:
             self._watch = None
         self._note_connection(True, '')
-        if self.at != at or batch.at < self.at:
-            return
-        names = []
-        for change in batch.changes:
-            name = change.document.name
-            names.append(name)
-            if change.deleted:
-                self.documents_by_name.pop(name, None)
-            else:
-                self.documents_by_name[name] = change.document
-        self.at = batch.at
-        if names:
-            self.changed_at = batch.at
-            self._listener(names)
+        if self.apply(batch, at) and batch.changes:
             await asyncio.sleep(BATCH_SECONDS)
 
     def _note_connection(self, connected: bool, reason: str) -> None:
--- a/packages/daisylift/src/daisylift/decisions/liveness.py
+++ b/packages/daisylift/src/daisylift/decisions/liveness.py
@@ -7,12 +7,15 @@
 """
 
 import random
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
+from heapq import nlargest
 
 LOST_SECONDS = 2.0  # without progress; eight heartbeats of 250 ms
+LARGE_FLEET_LOST_SECONDS = 5.0  # the same where heartbeats take several hops
 LONG_LOST_SECONDS = 120.0  # longer than a restart or a cut of a rack usually lasts
-MAX_NEWS = 40  # VMs told of in one datagram, so that it stays below 1,400 bytes
+FAR_LOST_SECONDS = 10.0  # in a large fleet, news from other failure domains is slower
+MAX_NEWS = 24  # VMs told of in one datagram; keeps it below 400 bytes
 START_GRACE_SECONDS = 2.0  # until a newly registered VM must have been heard of
 
 
@@ -39,6 +42,7 @@
     name: str
     incarnation: int
     ready: bool = False
+    lost_seconds: float = LOST_SECONDS
     _counter: int = 0
     _records_by_name: dict[str, _Record] = field(default_factory=dict)
 
@@ -58,45 +62,53 @@
 
     def expect(self, name: str, incarnation: int, now: float) -> None:
         """Give a newly registered VM some time to be heard of."""
-        grace = now - LOST_SECONDS + START_GRACE_SECONDS
+        grace = now - self.lost_seconds + START_GRACE_SECONDS
         heartbeat = Heartbeat(name, incarnation, 0, ready=True)
         record = self._records_by_name.get(name)
         if record is None or record.heartbeat.incarnation < incarnation:
             self._records_by_name[name] = _Record(heartbeat, grace)
 
-    def is_alive(self, name: str, now: float) -> bool:
-        """Say whether the VM has made progress a moment ago."""
+    def is_alive(
+        self, name: str, now: float, within_seconds: float | None = None
+    ) -> bool:
+        """Say whether the VM has made progress within the time."""
         if name == self.name:
             return True
         record = self._records_by_name.get(name)
-        return record is not None and now - record.heard_at < LOST_SECONDS
+        within = within_seconds or self.lost_seconds
+        return record is not None and now - record.heard_at < within
 
     def is_long_lost(self, name: str, now: float) -> bool:
         """Say whether the VM has been silent for so long that it won't come back."""
         record = self._records_by_name.get(name)
         return record is not None and now - record.heard_at > LONG_LOST_SECONDS
 
-    def is_ready(self, name: str, now: float) -> bool:
+    def is_ready(
+        self, name: str, now: float, within_seconds: float | None = None
+    ) -> bool:
         """Say whether the VM is alive and takes callers."""
         if name == self.name:
             return self.ready
         record = self._records_by_name.get(name)
-        return (
-            record is not None
-            and now - record.heard_at < LOST_SECONDS
-            and record.heartbeat.ready
-        )
-
-    def news(self, now: float, choice: random.Random) -> list[Heartbeat]:
-        """Return the heartbeats to pass on: the own, and some of the live others."""
+        alive = self.is_alive(name, now, within_seconds)
+        return alive and record is not None and record.heartbeat.ready
+
+    def news(
+        self, now: float, choice: random.Random, about: Collection[str]
+    ) -> list[Heartbeat]:
+        """Return the heartbeats to pass on: the own, and the newest of those named."""
         live = [
-            record.heartbeat
-            for record in self._records_by_name.values()
-            if now - record.heard_at < LOST_SECONDS and record.heartbeat.counter
+            record
+            for name in about
+            if (record := self._records_by_name.get(name)) is not None
+            and now - record.heard_at < self.lost_seconds
+            and record.heartbeat.counter
         ]
         if len(live) > MAX_NEWS:
-            live = choice.sample(live, MAX_NEWS)
-        return [self.beat(), *live]
+            choice.shuffle(live)
+            fresh = nlargest(2 * MAX_NEWS, live, key=lambda record: record.heard_at)
+            live = choice.sample(fresh, MAX_NEWS)
+        return [self.beat(), *(record.heartbeat for record in live)]
 
 
 def _age_key(heartbeat: Heartbeat) -> tuple[int, int]:
--- /dev/null
+++ b/tests/test_gossip_codec.py
@@ -0,0 +1,52 @@
+"""Datagrams between entry VMs: small, and refused when they can't be read."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from daisylift.decisions.liveness import MAX_NEWS, Heartbeat
+from daisylift_node.connection.gossip_codec import (
+    GossipError,
+    decode,
+    encode,
+    name_hash,
+)
+
+TARGET_BYTES_PER_SECOND = 6000
+DATAGRAMS_PER_SECOND = 12  # three peers each 250 ms
+
+
+def a_heartbeat(number: int) -> Heartbeat:
+    return Heartbeat(f'n{number}', 3_500_000_000 + number, number, number % 2 == 0)
+
+
+def test_what_is_told_is_heard() -> None:
+    heartbeats = tuple(a_heartbeat(number) for number in range(5))
+    names = {name_hash(each.name): each.name for each in heartbeats}
+    gossip = decode(encode(heartbeats, [7, 0, 2**40]), names)
+    assert gossip.heartbeats == heartbeats
+    assert gossip.revisions == (7, 0, 2**40)
+
+
+def test_names_that_are_not_known_are_left_out() -> None:
+    data = encode([a_heartbeat(1), a_heartbeat(2)], [])
+    gossip = decode(data, {name_hash('n2'): 'n2'})
+    assert [each.name for each in gossip.heartbeats] == ['n2']
+
+
+@given(st.binary(max_size=200))
+def test_any_bytes_are_read_or_refused(data: bytes) -> None:
+    try:
+        decode(data, {})
+    except GossipError:
+        return
+
+
+def test_another_version_is_refused() -> None:
+    with pytest.raises(GossipError):
+        decode(b'\x09\x00', {})
+
+
+def test_gossip_fits_the_targets_bytes_a_second() -> None:
+    data = encode([a_heartbeat(number) for number in range(MAX_NEWS + 1)], [1] * 4)
+    assert DATAGRAMS_PER_SECOND * (len(data) + 28) < TARGET_BYTES_PER_SECOND
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -207,3 +207,47 @@
     A VM counts as in touch 3 s after such a moment, and must know all by then.
     """
     assert replica_module.WATCH_SECONDS < 3.0
+
+
+async def test_peers_get_what_is_new_or_else_everything(store: MemoryStore) -> None:
+    store.write('i-1')
+    async with Followed(store) as followed:
+        replica = followed.replica
+        since = replica.at
+        store.write('i-2')
+        store.remove('i-1')
+        await asyncio.sleep(0.02)
+        changes = replica.changes_since(since)
+        assert changes is not None
+        assert [(c.document.name, c.deleted) for c in changes.changes] == [
+            ('i-2', False),
+            ('i-1', True),
+        ]
+        assert replica.changes_since(since - 1) is None
+
+
+async def test_changes_of_a_peer_are_taken_only_where_they_follow_on(
+    store: MemoryStore,
+) -> None:
+    store.write('i-1')
+    async with Followed(store) as followed:
+        replica = followed.replica
+        at = replica.at
+        news = DocumentChange(a_document('i-2', at + 3), deleted=False)
+        assert not replica.apply(DocumentChanges(at + 3, (news,)), at - 1)
+        assert replica.apply(DocumentChanges(at + 3, (news,)), at)
+        assert replica.at == at + 3
+        assert set(replica.documents_by_name) == {'i-1', 'i-2'}
+
+
+async def test_a_vm_that_need_not_watch_asks_rarely(
+    store: MemoryStore, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(replica_module, 'WATCH_SECONDS', 0.01)
+    monkeypatch.setattr(replica_module, 'RARE_PAUSE_SECONDS', 10.0)
+    replica = Replica('servers', store, lambda names: None, watches_store=lambda: False)
+    task = asyncio.create_task(replica.follow())
+    await asyncio.sleep(0.15)
+    assert len(store.waits) == 1
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
