Say in each refusal what decided it, and bound the memory of bodies

Cause: a refused request's line had the reason but not the queue or the expected wait, so on-call could not tell a full service from a slow one; long bodies had no bound over all callers, and the process would have been killed at the VM's memory limit. Bodies in chunks count as 64 KiB: counting the longest allowed, as first tried, would have refused the second of two.

--- a/packages/daisylift-node/src/daisylift_node/process/entry_application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_application.py
@@ -10,6 +10,7 @@
 
 from daisylift.decisions.cold_rate import ColdRate, ColdTerms
 from daisylift.decisions.entry_directory import entries_for
+from daisylift.decisions.held_bytes import BODY_SHARE, HeldBytes
 from daisylift.decisions.placement import Place
 from daisylift.decisions.region_shift import RegionShift
 from daisylift.decisions.retry_budget import RetryBudget, RetryTerms
@@ -36,6 +37,7 @@
 LOADED_POLL_SECONDS = 0.02  # a VM that has just started is wanted at once
 REMOVE_LOST_SECONDS = 15.0
 LISTEN_BACKLOG = 1024
+BYTES_PER_MB = 1024 * 1024
 STOP_ACCEPT_SHARE = 0.5  # of the grace: callers have heard of other VMs by then
 STOP_MARGIN_SECONDS = 0.4  # of the grace is left for the end of the process
 STOP_POLL_SECONDS = 0.02
@@ -87,8 +89,14 @@
             RegionShift(bounds.max_region_shift),
             self._clock,
         )
+        body_bytes = int(BODY_SHARE * settings.limits.memory_mb * BYTES_PER_MB)
         self.handler = EntryHandler(
-            self.view, self.steering, PlatformDialect(), self.metrics, self._clock
+            self.view,
+            self.steering,
+            PlatformDialect(),
+            self.metrics,
+            self._clock,
+            HeldBytes(body_bytes),
         )
         self._caller_server = web.Server(
             self.handler.handle,
--- a/packages/daisylift-node/src/daisylift_node/request/entry_handler.py
+++ b/packages/daisylift-node/src/daisylift_node/request/entry_handler.py
@@ -7,8 +7,10 @@
 from loguru import logger
 from multidict import CIMultiDict
 
+from daisylift.decisions.held_bytes import HeldBytes
 from daisylift.decisions.placement import Placement
 from daisylift.decisions.route_table import DestinationDealer
+from daisylift.models.desired_state import CallerLimits
 from daisylift_node.connection.server_connection import HOP_BY_HOP
 from daisylift_node.process.entry_metrics import EntryMetrics
 from daisylift_node.request.dialect import Dialect
@@ -25,6 +27,7 @@
 }
 STATUS_REFUSED = 503
 STATUS_FAILED = 502
+UNDECLARED_BYTES = 64 * 1024  # counted for a body in chunks; most are far shorter
 START_RETRY_SECONDS = 0.3  # a node that has just started knows its state after this
 FRAMING_HEADERS = HOP_BY_HOP | {b'content-length'}
 
@@ -39,8 +42,10 @@
         dialect: Dialect,
         metrics: EntryMetrics,
         clock: Callable[[], float],
+        held_bytes: HeldBytes,
     ) -> None:
         self.is_stopping = False
+        self._held_bytes = held_bytes
         self._view = view
         self._steering = steering
         self._dialect = dialect
@@ -52,6 +57,11 @@
         """Answer one request of a caller."""
         arrived_at = self._clock()
         call: Call | None = None
+        size = self._body_size(request)
+        if not self._held_bytes.take(size):
+            outcome: Outcome = Refused(Reason.MEMORY_FULL, START_RETRY_SECONDS)
+            self._record(request, call, outcome, 0.0)
+            return _response(outcome)
         try:
             taken = await self._take(request, arrived_at)
             if isinstance(taken, Call):
@@ -61,12 +71,22 @@
                 outcome = taken
         except web.HTTPRequestEntityTooLarge:
             outcome = Refused(Reason.BODY_TOO_LARGE)
+        finally:
+            self._held_bytes.release(size)
         self._record(request, call, outcome, self._clock() - arrived_at)
         response = _response(outcome)
         if self.is_stopping:
             response.force_close()
         return response
 
+    def _body_size(self, request: web.BaseRequest) -> int:
+        if not request.can_read_body:
+            return 0
+        routes = self._view.routes
+        longest = (routes.state.limits if routes else CallerLimits()).body_bytes
+        length = request.content_length
+        return min(UNDECLARED_BYTES if length is None else length, longest)
+
     async def _take(
         self, request: web.BaseRequest, arrived_at: float
     ) -> Call | Refused:
@@ -131,6 +151,12 @@
             line = line.bind(host=request.headers.get('Host', ''))
         if reason:
             line = line.bind(reason=reason)
+        if isinstance(outcome, Refused) and outcome.waiting is not None:
+            line = line.bind(
+                waiting=outcome.waiting,
+                expected_wait=round(outcome.expected_wait_seconds or 0.0, 4),
+                retry_after=round(outcome.retry_after_seconds or 0.0, 4),
+            )
         line.info(name)
 
 
--- a/packages/daisylift-node/src/daisylift_node/request/outcome.py
+++ b/packages/daisylift-node/src/daisylift_node/request/outcome.py
@@ -12,6 +12,7 @@
     NO_DESIRED_STATE = 'no desired state is known yet'
     NO_ROUTE = 'no route matches host and path'
     BODY_TOO_LARGE = 'the body is larger than allowed'
+    MEMORY_FULL = 'too many long bodies are held'
     OVERLOADED = 'no slot is free in time'
     WAITED_IN_VAIN = 'no slot became free in time'
     NO_SERVER = 'no backend server may serve the route'
@@ -37,6 +38,8 @@
 
     reason: Reason
     retry_after_seconds: float | None = None
+    expected_wait_seconds: float | None = None
+    waiting: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daisylift-node/src/daisylift_node/request/steering.py
+++ b/packages/daisylift-node/src/daisylift_node/request/steering.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from loguru import logger
 
@@ -167,7 +167,7 @@
     async def _wait(self, call: Call, room: WaitingRoom) -> Placement | Outcome:
         now = self._clock()
         if not self._view.placer(call.service).candidates_by_id:
-            return _ended(call, Reason.NO_SERVER, room.expected_wait(now, 0))
+            return self._refuse(call, Reason.NO_SERVER, room)
         placed: asyncio.Future[Placement] = asyncio.get_running_loop().create_future()
 
         def wake() -> bool:
@@ -185,16 +185,14 @@
             wake=wake,
         )
         if not room.may_wait(waiter, now):
-            wait = room.expected_wait(now, waiter.priority)
-            return _ended(call, Reason.OVERLOADED, wait)
+            return self._refuse(call, Reason.OVERLOADED, room)
         room.add(waiter)
         give_up_at = max(now, call.target_at - waiter.work_seconds)
         try:
             async with asyncio.timeout(give_up_at - now):
                 return await placed
         except TimeoutError:
-            wait = room.expected_wait(self._clock(), waiter.priority)
-            return _ended(call, Reason.WAITED_IN_VAIN, wait)
+            return self._refuse(call, Reason.WAITED_IN_VAIN, room)
         except asyncio.CancelledError:
             if placed.done() and not placed.cancelled():
                 self._release(call.service, placed.result())
@@ -203,6 +201,14 @@
             room.remove(waiter)
             call.waited_seconds += self._clock() - now
 
+    def _refuse(self, call: Call, reason: Reason, room: WaitingRoom) -> Outcome:
+        wait = room.expected_wait(self._clock(), call.route.priority)
+        outcome = _ended(call, reason, wait)
+        if isinstance(outcome, Failed):
+            return outcome
+        waiting = len(room.waiters)
+        return replace(outcome, expected_wait_seconds=wait, waiting=waiting)
+
     async def _attempt(self, call: Call, placed: Placement) -> _Attempt:
         server, stats = placed.server, placed.stats
         started = self._clock()
--- a/packages/daisylift-node/src/daisylift_node/version/replica.py
+++ b/packages/daisylift-node/src/daisylift_node/version/replica.py
@@ -89,7 +89,9 @@
                     relist = False
                 await self._watch_once()
             except HistoryGoneError as error:
-                logger.bind(kind=self.kind, at=self.at).warning('{}', error)
+                logger.bind(kind=self.kind, at=self.at, reason=str(error)).warning(
+                    'history gone, listing anew'
+                )
                 relist = True
                 self._on_interruption(self.kind)
                 continue
@@ -194,7 +196,7 @@
                 self._on_interruption(self.kind)
         else:
             self._was_lost = True
-            log.warning('store lost: {}', reason)
+            log.bind(reason=reason).warning('store lost')
 
 
 def _is_cancelling() -> bool:
--- a/tests/test_entry_path.py
+++ b/tests/test_entry_path.py
@@ -300,3 +300,16 @@
         world.store.remove('daisylift-members', 'entry-1')
         await asyncio.sleep(1.3)
         assert ('daisylift-members', 'entry-1') in world.store.objects
+
+
+async def test_many_chunked_bodies_are_taken_at_once() -> None:
+    async def chunks():
+        yield b'a' * 100
+
+    async with ScriptedServer([Script(WHOLE)] * 8) as server, EntryWorld() as world:
+        await world.configure(1, a_rule('/x/', 'till', 'unsafe'))
+        await world.register(i_1=a_registration(server, 'till', slots=8))
+        replies = await asyncio.gather(
+            *(world.ask('POST', data=chunks()) for _ in range(8))
+        )
+        assert [reply.status for reply in replies] == [200] * 8
