--- /dev/null
+++ b/bench/entry_control.py
@@ -0,0 +1,95 @@
+"""What control costs one entry VM on the platform, by the number of entry VMs.
+
+Replays the gossip of one VM of a fleet in this process: its own rounds, and datagrams
+of peers as many as it would get. Model: members spread evenly over seven failure
+domains, all alive; nothing is sent over a socket, so the kernel's part is missing.
+Run with ``python -m bench.entry_control [SIZE...]``.
+"""
+
+import random
+import sys
+import time
+import tracemalloc
+
+from daisylift.decisions.fleet_roles import SMALL_FLEET, gossip_targets, watches_store
+from daisylift.decisions.liveness import LARGE_FLEET_LOST_SECONDS, Heartbeat, Liveness
+from daisylift.models.registered_server import EntryMember
+from daisylift_node.connection.gossip_codec import decode, encode, name_hash
+from daisylift_node.process.peer_exchange import GOSSIP_SECONDS
+from daisylift_node.version.replica import RARE_PAUSE_SECONDS, WATCH_SECONDS
+
+SIZES = (7, 24, 32, 100, 300, 930)
+DOMAINS = 7
+KINDS = 4
+SECONDS = 20.0
+UDP_HEADER_BYTES = 28
+
+
+def a_fleet(size: int) -> list[EntryMember]:
+    """Return the members of a fleet."""
+    return [
+        EntryMember(f'entry-{n}', 1, f'd-{n % DOMAINS}', 'r', 'h:80', 'h', 7540)
+        for n in range(size)
+    ]
+
+
+def replay(size: int) -> tuple[float, float, float]:
+    """Return processor milliseconds, bytes sent and kilobytes held, a second."""
+    choice = random.Random(1)
+    members = a_fleet(size)
+    own = members[0]
+    near = [each.name for each in members]
+    if size > SMALL_FLEET:
+        near = [m.name for m in members if m.failure_domain == own.failure_domain]
+    tracemalloc.start()
+    liveness = Liveness(own.name, 1, lost_seconds=LARGE_FLEET_LOST_SECONDS)
+    names_by_hash = {name_hash(each.name): each.name for each in members}
+    for member in members:
+        liveness.expect(member.name, 1, 0.0)
+    held = tracemalloc.get_traced_memory()[0] / 1024
+    tracemalloc.stop()
+    now, sent, counter = 0.0, 0, 0
+    started = time.process_time()
+    prepared = 0.0
+    while now < SECONDS:
+        now += GOSSIP_SECONDS
+        counter += 1
+        news = liveness.news(now, choice, near)
+        data = encode(news, [1] * KINDS)
+        targets = gossip_targets(own, members, choice)
+        sent += len(targets) * (len(data) + UDP_HEADER_BYTES)
+        before = time.process_time()
+        beats = [
+            Heartbeat(name, 1, counter, ready=True)
+            for name in choice.sample(near, min(len(news), len(near)))
+        ]
+        arriving = [encode(beats, [1] * KINDS)] * len(targets)
+        prepared += time.process_time() - before
+        for datagram in arriving:
+            liveness.hear(decode(datagram, names_by_hash).heartbeats, now)
+    spent = time.process_time() - started - prepared
+    return 1000.0 * spent / SECONDS, sent / SECONDS, held
+
+
+def store_reads(size: int) -> float:
+    """Return the watches a second that a calm fleet makes."""
+    members = a_fleet(size)
+    live = {each.name for each in members}
+    watchers = sum(watches_store(each, members, live) for each in members)
+    others = size - watchers
+    return KINDS * (watchers / WATCH_SECONDS + others / RARE_PAUSE_SECONDS)
+
+
+def main() -> None:
+    """Print the table."""
+    sizes = [int(word) for word in sys.argv[1:]] or SIZES
+    print('| entry VMs | processor ms/s | bytes/s sent | KB held | reads/s, all VMs |')
+    print('| --- | --- | --- | --- | --- |')
+    for size in sizes:
+        spent, sent, held = replay(size)
+        reads = store_reads(size)
+        print(f'| {size} | {spent:.2f} | {sent:.0f} | {held:.0f} | {reads:.0f} |')
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
+++ b/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
@@ -62,6 +62,8 @@
         self._runner: web.ServerRunner | None = None
         self._behind_since_by_kind: dict[str, float] = {}
         self._fetches: dict[str, asyncio.Task[None]] = {}
+        self._names_by_hash: dict[int, str] = {}
+        self._met_at = -1
         view.watches_store = self.watches_store
 
     async def start(self) -> None:
@@ -93,9 +95,9 @@
 
     def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
         """Take over heartbeats and compare revisions."""
-        names_by_hash = {name_hash(name): name for name in self._view.members_by_name}
+        self._meet_members()
         try:
-            gossip = decode(data, names_by_hash)
+            gossip = decode(data, self._names_by_hash)
         except GossipError as error:
             logger.bind(peer=address[0]).warning('datagram not readable: {}', error)
             return
@@ -111,11 +113,8 @@
         if self._transport is None:
             return
         now = self._clock()
+        self._meet_members()
         members = self._view.members_by_name.values()
-        for member in members:
-            self.liveness.expect(member.name, member.incarnation, now)
-        if not self._is_small_fleet():
-            self.liveness.lost_seconds = LARGE_FLEET_LOST_SECONDS
         data = encode(
             self.liveness.news(now, self._choice, self._near_names()),
             [each.changed_at for each in self._view.replicas_by_kind.values()],
@@ -163,6 +162,20 @@
             return []
         return [name for name in names if self.liveness.is_long_lost(name, now)]
 
+    def _meet_members(self) -> None:
+        """Take over the registered members, if they have changed."""
+        changed_at = self._view.members.changed_at
+        if changed_at == self._met_at:
+            return
+        self._met_at = changed_at
+        now = self._clock()
+        members_by_name = self._view.members_by_name
+        self._names_by_hash = {name_hash(name): name for name in members_by_name}
+        for member in members_by_name.values():
+            self.liveness.expect(member.name, member.incarnation, now)
+        if not self._is_small_fleet():
+            self.liveness.lost_seconds = LARGE_FLEET_LOST_SECONDS
+
     def _compare(self, replica: Replica, revision: int, url: str, now: float) -> None:
         kind = replica.kind
         if replica.is_loaded and revision <= replica.at:
