Close idle callers' connections when a stopping VM goes deaf

One taken 5.1 s after SIGTERM was cut at the end of the grace. Ruled out: the listener, which closes in time; requests under way at the stop, which end with Connection: close. Change: pre_shutdown() closes idle connections first. Also: requests may wait until halfway between latency target and time limit instead of being refused at the target.

--- a/packages/daisylift-node/src/daisylift_node/process/entry_application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_application.py
@@ -155,6 +155,9 @@
         await asyncio.sleep(grace * STOP_ACCEPT_SHARE)
         for listener in self._listeners:
             listener.close()
+        # Idle connections close now: shutdown() alone would keep them open, and take
+        # requests on them, until the grace is over.
+        self._caller_server.pre_shutdown()
         left = started + grace - STOP_MARGIN_SECONDS - self._clock()
         await self._caller_server.shutdown(max(left, STOP_POLL_SECONDS))
         for task in self._tasks:
--- a/packages/daisylift-node/src/daisylift_node/request/steering.py
+++ b/packages/daisylift-node/src/daisylift_node/request/steering.py
@@ -187,9 +187,8 @@
         if not room.may_wait(waiter, now):
             return self._refuse(call, Reason.OVERLOADED, room)
         room.add(waiter)
-        give_up_at = max(now, call.target_at - waiter.work_seconds)
         try:
-            async with asyncio.timeout(give_up_at - now):
+            async with asyncio.timeout(max(0.0, waiter.give_up_at - now)):
                 return await placed
         except TimeoutError:
             return self._refuse(call, Reason.WAITED_IN_VAIN, room)
--- a/packages/daisylift/src/daisylift/decisions/waiting_room.py
+++ b/packages/daisylift/src/daisylift/decisions/waiting_room.py
@@ -1,8 +1,9 @@
 """Requests that wait for a free slot of a service on this node.
 
 Load pattern: waves and bursts beyond what the slots can serve. A request is let in
-only while the expected wait leaves it time to be answered; otherwise it is refused at
-once with the time at which a slot is expected. Waiting requests go in the order of
+only while the expected wait leaves it time to be answered, if need be late: a late
+answer is worth more to its caller than coming back. Otherwise it is refused at once
+with the time at which a slot is expected. Waiting requests go in the order of
 priority; among equals, those that can still meet their latency target go first, the
 most urgent of them foremost, and those that are late already share what is left.
 """
@@ -15,6 +16,7 @@
 MAX_RETRY_AFTER_SECONDS = 2.0
 MAX_WOKEN = 24  # tried for one free slot; bounds processor time under load
 RATE_WINDOW_SECONDS = 1.0
+LATE_SHARE = 0.5  # of the time from target to limit may pass for a late answer
 
 
 @dataclass(slots=True, eq=False)
@@ -27,6 +29,12 @@
     work_seconds: float
     wake: Callable[[], bool]
 
+    @property
+    def give_up_at(self) -> float:
+        """The moment after which waiting on would only keep others from a slot."""
+        spare = max(0.0, self.limit_at - self.target_at)
+        return self.target_at + LATE_SHARE * spare - self.work_seconds
+
     def order(self, now: float) -> tuple[int, bool, float]:
         """Return the key by which waiting requests are served, smallest first."""
         late = now + self.work_seconds > self.target_at
@@ -57,8 +65,7 @@
         """Say whether the waiter can expect an answer in time if it waits."""
         if len(self.waiters) >= MAX_WAITING:
             return False
-        start = now + self.expected_wait(now, waiter.priority)
-        return start + waiter.work_seconds <= waiter.target_at
+        return now + self.expected_wait(now, waiter.priority) <= waiter.give_up_at
 
     def add(self, waiter: Waiter) -> None:
         """Let the waiter wait."""
--- a/tests/test_entry_path.py
+++ b/tests/test_entry_path.py
@@ -313,3 +313,26 @@
             *(world.ask('POST', data=chunks()) for _ in range(8))
         )
         assert [reply.status for reply in replies] == [200] * 8
+
+
+async def test_a_stopping_vm_closes_idle_connections_in_good_time() -> None:
+    """A request on one of them, taken at the end of the grace, would be cut."""
+    scripts = [Script(WHOLE)] * 2
+    async with (
+        ScriptedServer(scripts) as server,
+        EntryWorld(grace_seconds=3.0) as world,
+    ):
+        await world.configure(1, a_rule('/x/', 'catalogue'))
+        await world.register(i_1=a_registration(server))
+        assert world.application is not None
+        address = world.application.settings.listen.caller
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        writer.write(b'GET /x/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r-1\r\n\r\n')
+        await reader.readuntil(b'whole')
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        stopping = asyncio.create_task(world.application.stop())
+        assert await reader.read() == b''
+        assert loop.time() - started < 0.6 * 3.0
+        writer.close()
+        await stopping
