Let few entry VMs watch the store in fleets of more than ten

Change: above ten VMs one of each failure domain watches (two above forty); the others fetch changes from a peer as soon as gossip tells of them, and take the watch over half a second after its VM is taken for lost. Ruled out: longer waits, as a deaf watch would outlast the window in which rules bind again.

--- a/bench/entry_control.py
+++ b/bench/entry_control.py
@@ -16,7 +16,10 @@
 from daisylift.models.registered_server import EntryMember
 from daisylift_node.connection.gossip_codec import decode, encode, name_hash
 from daisylift_node.process.peer_exchange import GOSSIP_SECONDS
-from daisylift_node.version.replica import RARE_PAUSE_SECONDS, WATCH_SECONDS
+from daisylift_node.version.replica import (
+    DEFAULT_WATCH_SECONDS,
+    RARE_PAUSE_SECONDS,
+)
 
 SIZES = (7, 24, 32, 100, 300, 930)
 DOMAINS = 7
@@ -77,7 +80,7 @@
     live = {each.name for each in members}
     watchers = sum(watches_store(each, members, live) for each in members)
     others = size - watchers
-    return KINDS * (watchers / WATCH_SECONDS + others / RARE_PAUSE_SECONDS)
+    return KINDS * (watchers / DEFAULT_WATCH_SECONDS + others / RARE_PAUSE_SECONDS)
 
 
 def main() -> None:
--- a/packages/daisylift-node/src/daisylift_node/entry_config.py
+++ b/packages/daisylift-node/src/daisylift_node/entry_config.py
@@ -86,6 +86,7 @@
 class BoundsSection(Section):
     """The bounds that operators have agreed on, by the names of their sheet."""
 
+    stability_window_ms: float = Field(default=3000.0, gt=0)
     drain_ms: float = Field(default=2500.0, gt=0)
     grace_s: float = Field(default=6.0, gt=0)
     budget_ratio: float = Field(default=0.2, ge=0)
--- a/packages/daisylift-node/src/daisylift_node/process/entry_application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_application.py
@@ -41,6 +41,18 @@
 STOP_ACCEPT_SHARE = 0.5  # of the grace: callers have heard of other VMs by then
 STOP_MARGIN_SECONDS = 0.4  # of the grace is left for the end of the process
 STOP_POLL_SECONDS = 0.02
+MILLISECONDS = 1000.0
+DEAF_MARGIN_SECONDS = 0.5  # for the list that follows a watch which heard nothing
+MIN_WATCH_SECONDS = 0.5
+
+
+def watch_seconds(stability_seconds: float) -> float:
+    """Return how long the store may hold a watch.
+
+    A watch can go deaf without an error while the store drops its history. A VM counts
+    as in touch one stability window later, and must have heard of all changes by then.
+    """
+    return max(MIN_WATCH_SECONDS, stability_seconds - DEAF_MARGIN_SECONDS)
 
 
 class EntryApplication:
@@ -64,6 +76,7 @@
             self.store,
             cold_rate,
             self._clock,
+            watch_seconds(bounds.stability_window_ms / MILLISECONDS),
         )
         self.member = EntryMember(
             name=vm.id,
--- a/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
+++ b/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
@@ -182,7 +182,8 @@
             self._behind_since_by_kind.pop(kind, None)
             return
         since = self._behind_since_by_kind.setdefault(kind, now)
-        if now - since >= BEHIND_SECONDS and kind not in self._fetches:
+        patience = BEHIND_SECONDS if self.watches_store() else 0.0
+        if now - since >= patience and kind not in self._fetches:
             task = asyncio.create_task(self._fetch(replica, url))
             self._fetches[kind] = task
             task.add_done_callback(lambda _: self._fetches.pop(kind, None))
--- a/packages/daisylift-node/src/daisylift_node/version/fleet_view.py
+++ b/packages/daisylift-node/src/daisylift_node/version/fleet_view.py
@@ -17,7 +17,11 @@
     DocumentStore,
     StoredDocument,
 )
-from daisylift_node.version.replica import Listener, Replica
+from daisylift_node.version.replica import (
+    DEFAULT_WATCH_SECONDS,
+    Listener,
+    Replica,
+)
 
 LAPSE_SECONDS = 1.8  # a lapsed registration is back within two seconds if it comes back
 UNKNOWN_FLEET_NODES = 16  # taken as the fleet's size until members are known
@@ -44,6 +48,7 @@
         store: DocumentStore,
         cold_rate: ColdRate,
         clock: Clock,
+        watch_seconds: float = DEFAULT_WATCH_SECONDS,
     ) -> None:
         self.place = place
         self.region_by_domain = region_by_domain
@@ -54,6 +59,7 @@
         self._store = store
         self._cold_rate = cold_rate
         self._clock = clock
+        self._watch_seconds = watch_seconds
         self.watches_store: Callable[[], bool] = lambda: True
         self._known_by_id: dict[str, _KnownServer] = {}
         self._placers_by_service: dict[str, ServicePlacer] = {}
@@ -132,6 +138,7 @@
             kind,
             self._store,
             listener,
+            self._watch_seconds,
             self._refresh_others,
             lambda: self.watches_store(),
         )
--- a/packages/daisylift-node/src/daisylift_node/version/replica.py
+++ b/packages/daisylift-node/src/daisylift_node/version/replica.py
@@ -21,10 +21,11 @@
     StoreError,
 )
 
-WATCH_SECONDS = 2.5  # a watch that has gone deaf is noticed within this time
+ROLE_POLL_SECONDS = 0.5  # how soon a VM takes over the watch of one that was lost
 RARE_PAUSE_SECONDS = 20.0  # between a VM's own looks while peers keep it up to date
 MAX_RECENT_CHANGES = 1000  # kept to tell peers what is new instead of everything
 REFRESH_PAUSE_SECONDS = 0.5  # between renewals, so that copies don't renew in turns
+DEFAULT_WATCH_SECONDS = 2.5  # a watch that has gone deaf is noticed in this time
 PROBE_SECONDS = 0.3  # the same while the store does not answer: a lost call shows soon
 FIRST_PAUSE_SECONDS = 0.1  # after a call that failed
 MAX_PAUSE_SECONDS = 0.8  # keeps a machine that is turned away below two calls a second
@@ -44,6 +45,7 @@
         kind: str,
         store: DocumentStore,
         listener: Listener,
+        watch_seconds: float = DEFAULT_WATCH_SECONDS,
         on_interruption: Callable[[str], None] = lambda kind: None,
         watches_store: Callable[[], bool] = lambda: True,
     ) -> None:
@@ -54,6 +56,7 @@
         self.is_loaded = False
         self.is_connected = False
         self._store = store
+        self._watch_seconds = watch_seconds
         self._listener = listener
         self._on_interruption = on_interruption
         self._watches_store = watches_store
@@ -104,9 +107,7 @@
                 continue
             self._note_connection(True, '')
             pause = FIRST_PAUSE_SECONDS
-            if not self._watches_store():
-                spread = random.uniform(0.8, 1.2)
-                await asyncio.sleep(RARE_PAUSE_SECONDS * spread)
+            await self._leave_to_others()
 
     def adopt(self, listing: DocumentListing, source: str) -> bool:
         """Replace the copy by a listing that is newer; say whether it was taken."""
@@ -168,9 +169,16 @@
             self._listener(names)
         return True
 
+    async def _leave_to_others(self) -> None:
+        """Pause while other VMs watch the store for this one."""
+        left = RARE_PAUSE_SECONDS * random.uniform(0.8, 1.2)
+        while left > 0.0 and not self._watches_store():
+            await asyncio.sleep(ROLE_POLL_SECONDS)
+            left -= ROLE_POLL_SECONDS
+
     async def _watch_once(self) -> None:
         at = self.at
-        seconds = WATCH_SECONDS if self.is_connected else PROBE_SECONDS
+        seconds = self._watch_seconds if self.is_connected else PROBE_SECONDS
         call = self._store.watch(self.kind, at, seconds)
         self._watch = asyncio.ensure_future(call)
         try:
--- a/packages/daisylift/src/daisylift/decisions/fleet_roles.py
+++ b/packages/daisylift/src/daisylift/decisions/fleet_roles.py
@@ -12,8 +12,10 @@
 
 from daisylift.models.registered_server import EntryMember
 
-SMALL_FLEET = 40  # VMs; four watches of each are then a few reads in a hundred
-WATCHERS_PER_DOMAIN = 4  # any three of them may be lost or turned away
+ALL_WATCH_FLEET = 10  # VMs; up to here each watches, and none waits for another
+SMALL_FLEET = 40  # VMs; up to here heartbeats of all reach all in one datagram or two
+SMALL_FLEET_WATCHERS = 1  # of each failure domain; one of them all is enough for news
+WATCHERS = 2  # of each failure domain in a large fleet, where news takes longer
 NEAR_FANOUT = 2  # peers of the own failure domain told each time
 FAR_FANOUT = 1  # others told each time; carries news between failure domains
 
@@ -22,14 +24,15 @@
     own: EntryMember, members: Collection[EntryMember], live: Collection[str]
 ) -> bool:
     """Say whether this VM should keep watching the store itself."""
-    if len(members) <= SMALL_FLEET:
+    if len(members) <= ALL_WATCH_FLEET:
         return True
     near = sorted(
         member.name
         for member in members
         if member.failure_domain == own.failure_domain and member.name in live
     )
-    return own.name in near[:WATCHERS_PER_DOMAIN] or own.name not in near
+    count = SMALL_FLEET_WATCHERS if len(members) <= SMALL_FLEET else WATCHERS
+    return own.name in near[:count] or own.name not in near
 
 
 def gossip_targets(
