--- /dev/null
+++ b/tests/test_bounded_lines.py
@@ -0,0 +1,70 @@
+"""Log lines never block and are bounded, also if nobody reads them."""
+
+import json
+import os
+from collections.abc import Iterator
+
+import pytest
+from loguru import logger
+
+from daisylift_node.process import bounded_lines
+from daisylift_node.process.bounded_lines import BoundedLines
+from daisylift_node.process.logs import JsonLines
+
+
+@pytest.fixture
+def pipe() -> Iterator[tuple[int, int]]:
+    reader, writer = os.pipe()
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+async def test_lines_arrive_in_order(pipe: tuple[int, int]) -> None:
+    reader, writer = pipe
+    lines = BoundedLines(writer)
+    for number in range(100):
+        lines.write(f'{number}\n')
+    await lines.drain()
+    assert os.read(reader, 65536).decode().split() == [str(n) for n in range(100)]
+
+
+async def test_a_reader_that_is_stuck_costs_lines_not_time(
+    pipe: tuple[int, int], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(bounded_lines, 'MAX_LINES', 50)
+    reader, writer = pipe
+    lines = BoundedLines(writer)
+    for _ in range(200):
+        lines.write('x' * 4000 + '\n')
+        await lines.drain()
+    assert lines.dropped > 0
+    received = b''
+    while len(received) < 60_000:
+        received += os.read(reader, 65536)
+        await lines.drain()
+    assert set(received) == {ord('x'), ord('\n')}
+
+
+async def test_a_reader_that_is_gone_ends_nothing() -> None:
+    reader, writer = os.pipe()
+    os.close(reader)
+    lines = BoundedLines(writer)
+    lines.write('lost\n')
+    await lines.drain()
+    assert lines.dropped == 1
+    os.close(writer)
+
+
+async def test_a_decision_is_one_json_line(pipe: tuple[int, int]) -> None:
+    reader, writer = pipe
+    lines = BoundedLines(writer)
+    sink = logger.add(JsonLines(lines), level='INFO')
+    try:
+        logger.bind(request_id='r-1', reason='overloaded').info('refused')
+    finally:
+        logger.remove(sink)
+    await lines.drain()
+    line = json.loads(os.read(reader, 65536))
+    assert line['message'] == 'refused'
+    assert (line['request_id'], line['reason']) == ('r-1', 'overloaded')
--- /dev/null
+++ b/tests/test_entry_config.py
@@ -0,0 +1,102 @@
+"""Settings of an entry VM: rendered by the template, checked, clear errors."""
+
+import io
+import re
+from pathlib import Path
+
+import pytest
+
+from daisylift_node import entry_core
+from daisylift_node.context import Environment
+from daisylift_node.entry_config import load_entry_settings
+from daisylift_node.errors import SettingsError
+from daisylift_node.status import ExitStatus
+
+TEMPLATE = Path(__file__).resolve().parents[1] / 'deploy' / 'entry.ini.template'
+VALUES = {
+    'node': 'front-arusha-a-1',
+    'ip': '10.1.0.34',
+    'zone': 'arusha-a',
+    'region': 'arusha',
+    'listen.front': '10.1.0.34:8548',
+    'listen.ready': '10.1.0.34:8542',
+    'listen.directory': '10.1.0.34:8546',
+    'internal_ports.0': '7540',
+    'platform.address': '10.200.1.7:8541',
+    'limits.memory_mb': '300',
+    'limits.file_descriptors': '4100',
+}
+TABLES = {
+    'zones': {'arusha-a': 'arusha', 'Dar-A': 'dar'},
+    'bounds': {'drain_ms': '2500', 'grace_s': '6', 'budget_ratio': '0.2', 'new': '1'},
+}
+
+
+def rendered() -> str:
+    """Fill in the template as the platform does."""
+    text = TEMPLATE.read_text()
+    for name, table in TABLES.items():
+        section = re.compile(
+            r'\{\{#' + name + r'\}\}\n(.*?)\{\{/' + name + r'\}\}\n', re.S
+        )
+        lines = ''.join(f'{key} = {value}\n' for key, value in table.items())
+        text = section.sub(lines, text)
+    for name, value in VALUES.items():
+        text = text.replace('{{' + name + '}}', value)
+    assert '{{' not in text
+    return text
+
+
+@pytest.fixture
+def path(tmp_path: Path) -> Path:
+    path = tmp_path / 'entry.ini'
+    path.write_text(rendered())
+    return path
+
+
+def test_the_rendered_template_is_read(path: Path) -> None:
+    settings = load_entry_settings(path)
+    assert settings.vm.id == 'front-arusha-a-1'
+    assert str(settings.listen.caller) == '10.1.0.34:8548'
+    assert settings.domains == {'arusha-a': 'arusha', 'Dar-A': 'dar'}
+    assert settings.bounds.drain_ms == 2500.0
+    assert settings.bounds.budget_extra_attempts == 50.0
+
+
+@pytest.mark.parametrize(
+    ('before', 'after', 'place'),
+    [
+        ('caller = 10.1.0.34:8548', 'caller = nowhere', 'listen.caller'),
+        ('caller = 10.1.0.34:8548', 'caller = 10.1.0.34:0', 'listen.caller'),
+        ('port = 7540', 'port = many', 'peer.port'),
+        ('drain_ms = 2500', 'drain_ms = -1', 'bounds.drain_ms'),
+        ('id = front-arusha-a-1', 'id =', 'vm.id'),
+        ('[store]', '[shop]', 'store'),
+    ],
+)
+def test_a_wrong_value_names_its_place(
+    path: Path, before: str, after: str, place: str
+) -> None:
+    path.write_text(rendered().replace(before, after))
+    with pytest.raises(SettingsError, match=re.escape(place)):
+        load_entry_settings(path)
+
+
+def test_a_file_that_is_not_ini_is_refused(path: Path) -> None:
+    path.write_text('{"vm": 1}')
+    with pytest.raises(SettingsError):
+        load_entry_settings(path)
+
+
+def test_the_program_says_what_is_wrong_in_one_line(
+    path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    stderr = io.StringIO()
+    environment = Environment(stdout=io.StringIO(), stderr=stderr)
+    monkeypatch.delenv(entry_core.SETTINGS_VARIABLE, raising=False)
+    assert entry_core.main(environment) is ExitStatus.USAGE
+    monkeypatch.setenv(entry_core.SETTINGS_VARIABLE, str(path.parent / 'absent.ini'))
+    assert entry_core.main(environment) is ExitStatus.SETTINGS
+    lines = stderr.getvalue().splitlines()
+    assert len(lines) == 2
+    assert all(line.startswith('daisyliftd: error: ') for line in lines)
