Keep look-ups' names in platform/, and the state of a call in a module of its own

The application read and wrote the platform's field names of the directory; they are in platform/directory.py now. steering.py had grown to 361 lines; the call moved out, with the check whether an answer is its own.

--- a/packages/daisylift-node/src/daisylift_node/process/entry_application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_application.py
@@ -18,7 +18,13 @@
 from daisylift.models.registered_server import EntryMember
 from daisylift_node.connection.server_pool import ServerPool
 from daisylift_node.entry_config import DEFAULT_CALLER_TTL_SECONDS, EntrySettings
-from daisylift_node.platform import PlatformDialect, PlatformDocuments, StoreClient
+from daisylift_node.platform import (
+    PlatformDialect,
+    PlatformDocuments,
+    StoreClient,
+    answer_document,
+    read_question,
+)
 from daisylift_node.process.bounded_lines import BoundedLines
 from daisylift_node.process.entry_metrics import EntryMetrics
 from daisylift_node.process.peer_exchange import GOSSIP_SECONDS, PeerExchange
@@ -271,14 +277,15 @@
         members = dict(self.view.members_by_name)
         members[self.member.name] = self.member
         self.peers.liveness.ready = self.is_ready
+        question = read_question(request.query)
         addresses = entries_for(
-            request.query.get('region', ''),
-            request.query.get('zone', ''),
+            question.region,
+            question.failure_domain,
             members.values(),
             self.peers.is_ready,
         )
         ttl = min(DEFAULT_CALLER_TTL_SECONDS, self.settings.bounds.ttl_max_s)
-        return web.json_response({'addresses': addresses, 'ttl_s': ttl})
+        return web.json_response(answer_document(addresses, ttl))
 
     async def _metrics_page(self, request: web.BaseRequest) -> web.Response:
         for kind, replica in self.view.replicas_by_kind.items():
--- a/packages/daisylift-node/src/daisylift_node/request/entry_handler.py
+++ b/packages/daisylift-node/src/daisylift_node/request/entry_handler.py
@@ -15,7 +15,8 @@
 from daisylift_node.process.entry_metrics import EntryMetrics
 from daisylift_node.request.dialect import Dialect
 from daisylift_node.request.outcome import Answered, Failed, Outcome, Reason, Refused
-from daisylift_node.request.steering import Call, Steering
+from daisylift_node.request.steered_call import Call
+from daisylift_node.request.steering import Steering
 from daisylift_node.version.fleet_view import FleetView
 
 DEFAULT_LIMIT_SECONDS = 30.0  # for callers that name no time limit
--- a/packages/daisylift-node/src/daisylift_node/request/steering.py
+++ b/packages/daisylift-node/src/daisylift_node/request/steering.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 
 from loguru import logger
 
@@ -18,7 +18,6 @@
     retry_after_seconds,
 )
 from daisylift.decisions.work_estimates import RouteWork, WorkEstimates
-from daisylift.models.desired_state import Route
 from daisylift_node.connection.server_connection import (
     ExchangeLostError,
     NotSentError,
@@ -26,42 +25,15 @@
     ServerRequest,
 )
 from daisylift_node.connection.server_pool import ServerPool
-from daisylift_node.request.dialect import AnswerTerms, Dialect, RawHeaders
+from daisylift_node.request.dialect import AnswerTerms, Dialect
 from daisylift_node.request.outcome import Answered, Failed, Outcome, Reason, Refused
+from daisylift_node.request.steered_call import Call
 from daisylift_node.version.fleet_view import FleetView
 
 MIN_USEFUL_SECONDS = 0.02  # less time left than this serves nobody
 MAX_UNREACHABLE = 4  # servers tried in vain for one request
 ABANDONED_SECONDS = 10.0  # until the connection of an abandoned request is closed
 SERVER_ERROR = 500
-SUCCESS = range(200, 300)
-
-
-@dataclass(slots=True)
-class Call:
-    """A caller's request on its way. Moments are of the steady clock, in seconds."""
-
-    request_id: str
-    method: str
-    target: str
-    headers: RawHeaders
-    body: bytes
-    route: Route
-    service: str
-    object_key: str | None
-    arrived_at: float
-    limit_at: float
-    tried: set[str] = field(default_factory=set)
-    sends: int = 0
-    unreachable: int = 0
-    may_have_run: bool = False
-    waited_seconds: float = 0.0
-    placement: Placement | None = None
-
-    @property
-    def target_at(self) -> float:
-        """The moment by which an answer is worth most."""
-        return self.arrived_at + self.route.target_seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -273,13 +245,15 @@
                 return None
             return _ended(call, Reason.SHED, 0.0)
         call.may_have_run = True
-        whole = answer is not None and _is_own_answer(call, answer, terms)
-        if whole and answer is not None and answer.status < SERVER_ERROR:
-            return Answered(answer, placed.server.id)
+        answered = None
+        if answer and terms and call.is_answered_by(answer, terms):
+            answered = Answered(answer, placed.server.id)
+        if answered and answered.answer.status < SERVER_ERROR:
+            return answered
         if call.route.kind.is_idempotent and self._may_send_again(call):
             return None
-        if whole and answer is not None:
-            return Answered(answer, placed.server.id)
+        if answered:
+            return answered
         timed_out = self._clock() >= call.limit_at - MIN_USEFUL_SECONDS
         return Failed(Reason.TIMED_OUT if timed_out else Reason.ANSWER_LOST)
 
@@ -347,15 +321,3 @@
     if expected_wait is None:
         return Refused(reason)
     return Refused(reason, retry_after_seconds(expected_wait, random.random()))
-
-
-def _is_own_answer(call: Call, answer: ServerAnswer, terms: AnswerTerms | None) -> bool:
-    if terms is None:
-        return False
-    if call.request_id and terms.request_id not in (None, call.request_id):
-        return False
-    if answer.status in SUCCESS:
-        return terms.is_stamped and (
-            not call.request_id or terms.request_id == call.request_id
-        )
-    return True
