Believe only a request's own answer, and notice servers that are silent or displaced

Cause: found by reading the exchange after. (1) "Not run" was believed whatever request it named: a late second copy of a refusal on a connection in use again made an order go to a second server while the first ran it. (2) A crossed answer left its connection in the pool, where the true answer met the next request. Ruled out: asking the registry after a 421; the server's own word is newer.

What: an answer that names another request ends its connection and counts as lost; the kernel probes connections to servers; a server that answers 421 is out until it registers anew. One function sets the socket options for the store's client and for servers.

--- a/packages/daisylift-node/src/daisylift_node/connection/server_connection.py
+++ b/packages/daisylift-node/src/daisylift_node/connection/server_connection.py
@@ -13,6 +13,7 @@
 
 import h11
 
+from daisylift_node.connection.sockets import watch_for_silence
 from daisylift_node.request.dialect import RawHeaders
 
 MAX_HEAD_BYTES = 64 * 1024
@@ -37,12 +38,16 @@
 class ExchangeLostError(Exception):
     """No complete answer came; the server may have run the request.
 
-    ``is_broken`` says that the connection ended before an answer had begun.
+    ``is_broken`` says that the connection ended before an answer had begun, and
+    ``is_silent`` that the server's machine no longer answers at all.
     """
 
-    def __init__(self, reason: str, is_broken: bool = False) -> None:
+    def __init__(
+        self, reason: str, is_broken: bool = False, is_silent: bool = False
+    ) -> None:
         super().__init__(reason)
         self.is_broken = is_broken
+        self.is_silent = is_silent
 
 
 class UnsendableError(Exception):
@@ -118,9 +123,7 @@
         self.is_open = True
         connected = transport.get_extra_info('socket')
         if connected is not None:
-            connected.setsockopt(
-                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_TIMEOUT_MS
-            )
+            watch_for_silence(connected, SILENCE_TIMEOUT_MS)
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes of an answer; close if none is waited for."""
@@ -148,8 +151,11 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Fail the exchange that is under way."""
         self.is_open = False
+        is_silent = isinstance(error, TimeoutError)
         reason = 'the connection was reset' if error else 'the connection closed'
-        self._fail(reason, is_broken=self._head is None)
+        if is_silent:
+            reason = 'the server has gone silent'
+        self._fail(reason, is_broken=self._head is None, is_silent=is_silent)
 
     async def exchange(self, request: ServerRequest) -> ServerAnswer:
         """Send the request and return its complete answer.
@@ -239,9 +245,12 @@
         )
         waiting.set_result(answer)
 
-    def _fail(self, reason: str, is_broken: bool = False) -> None:
+    def _fail(
+        self, reason: str, is_broken: bool = False, is_silent: bool = False
+    ) -> None:
         if self._waiting is not None and not self._waiting.done():
-            self._waiting.set_exception(ExchangeLostError(reason, is_broken))
+            error = ExchangeLostError(reason, is_broken, is_silent)
+            self._waiting.set_exception(error)
         self.reset()
 
 
--- a/packages/daisylift-node/src/daisylift_node/connection/server_pool.py
+++ b/packages/daisylift-node/src/daisylift_node/connection/server_pool.py
@@ -2,10 +2,12 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from daisylift.models.registered_server import RegisteredServer
 from daisylift_node.connection.server_connection import (
+    ExchangeLostError,
     NotSentError,
     ServerAnswer,
     ServerConnection,
@@ -31,19 +33,27 @@
         self.opened = 0
 
     async def exchange(
-        self, server: RegisteredServer, request: ServerRequest, repeatable: bool
+        self,
+        server: RegisteredServer,
+        request: ServerRequest,
+        repeatable: bool,
+        is_own: Callable[[ServerAnswer], bool] = lambda answer: True,
     ) -> ServerAnswer:
         """Send the request and return the complete answer.
 
         A request that may not be repeated goes only over a new connection or one that
-        was used a moment ago. Raises NotSentError, ExchangeLostError or
-        UnsendableError.
+        was used a moment ago. An answer that is not the request's own ends the
+        connection, as the true one may still follow on it. Raises NotSentError,
+        ExchangeLostError or UnsendableError.
         """
         key = (server.id, server.started_at_ms)
         connection = self._kept(key, repeatable)
         if connection is None:
             connection = await self._open(server)
         answer = await connection.exchange(request)
+        if not is_own(answer):
+            connection.reset()
+            raise ExchangeLostError('the answer belongs to another request')
         if connection.is_reusable():
             self._links_by_key.setdefault(key, _ServerLink()).idle.append(connection)
         else:
--- a/packages/daisylift-node/src/daisylift_node/platform/store.py
+++ b/packages/daisylift-node/src/daisylift_node/platform/store.py
@@ -9,6 +9,7 @@
 import aiohttp
 
 from daisylift_node.connection.send_once import SendOnce
+from daisylift_node.connection.sockets import watch_for_silence
 from daisylift_node.version.documents import (
     ConflictError,
     DocumentChange,
@@ -24,8 +25,6 @@
 OBJECTS_PATH = '/-/objects'
 CALL_TIMEOUT_SECONDS = 1.5  # far above the few milliseconds of a calm call
 WATCH_MARGIN_SECONDS = 1.0  # beyond the time that the store may hold a watch
-KEEPALIVE_IDLE_SECONDS = 1
-KEEPALIVE_PROBES = 2
 SILENCE_TIMEOUT_MS = 2000  # unacknowledged bytes end the connection after this long
 MAX_PAGES = 1000
 MILLISECONDS = 1000
@@ -206,13 +205,6 @@
     family, kind, protocol, _, _ = address
     opened = socket.socket(family, kind, protocol)
     opened.setblocking(False)
-    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, value in (
-        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS),
-        (socket.TCP_KEEPINTVL, KEEPALIVE_IDLE_SECONDS),
-        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.TCP_USER_TIMEOUT, SILENCE_TIMEOUT_MS),
-        (socket.TCP_NODELAY, 1),
-    ):
-        opened.setsockopt(socket.IPPROTO_TCP, option, value)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    watch_for_silence(opened, SILENCE_TIMEOUT_MS)
     return opened
--- a/packages/daisylift-node/src/daisylift_node/request/steered_call.py
+++ b/packages/daisylift-node/src/daisylift_node/request/steered_call.py
@@ -41,10 +41,12 @@
         """The moment by which an answer is worth most."""
         return self.arrived_at + self.route.target_seconds
 
+    def owns(self, terms: AnswerTerms) -> bool:
+        """Say whether the answer may be this request's, and not a crossed one."""
+        return not self.request_id or terms.request_id in (None, self.request_id)
+
     def is_answered_by(self, answer: ServerAnswer, terms: AnswerTerms) -> bool:
-        """Say whether the answer is this request's own, and not a crossed one."""
-        if self.request_id and terms.request_id not in (None, self.request_id):
-            return False
+        """Say whether the answer is surely this request's own."""
         if answer.status not in SUCCESS:
             return True
         is_named = not self.request_id or terms.request_id == self.request_id
--- a/packages/daisylift-node/src/daisylift_node/request/steering.py
+++ b/packages/daisylift-node/src/daisylift_node/request/steering.py
@@ -211,7 +211,10 @@
             _log_attempt(call, stats, 'request not sent', str(error))
             return SendResult(None, None, was_sent=False)
         except ExchangeLostError as error:
-            stats.failed(self._clock())
+            if error.is_silent:
+                stats.unreachable(self._clock())
+            else:
+                stats.failed(self._clock())
             if error.is_broken:
                 self._breaks.broke(call.digest, server.incarnation_id)
             _log_attempt(call, stats, 'answer lost', str(error))
@@ -220,7 +223,7 @@
             stats.failed(self._clock())
             _log_attempt(call, stats, 'answer lost', 'time limit reached')
             return SendResult(None, None, was_sent=True)
-        terms = self._dialect.read_answer(answer.status, answer.headers_by_name())
+        terms = self._terms(answer)
         self._learn(call, placed, answer, terms, self._clock() - started)
         return SendResult(answer, terms, was_sent=True)
 
@@ -234,7 +237,12 @@
         """
         repeatable = call.route.kind.is_idempotent
         task = asyncio.ensure_future(
-            self._pool.exchange(placed.server, request, repeatable)
+            self._pool.exchange(
+                placed.server,
+                request,
+                repeatable,
+                lambda answer: call.owns(self._terms(answer)),
+            )
         )
         task.add_done_callback(lambda _: self._release(call.service, placed))
         if repeatable:
@@ -247,6 +255,9 @@
             task.add_done_callback(_ignore_late_failure)
             raise
 
+    def _terms(self, answer: ServerAnswer) -> AnswerTerms:
+        return self._dialect.read_answer(answer.status, answer.headers_by_name())
+
     def _judge(
         self, call: Call, placed: Placement, result: SendResult
     ) -> Outcome | None:
@@ -302,6 +313,9 @@
         now, stats = self._clock(), placed.stats
         if terms.load is not None:
             stats.reported(terms.load, now)
+        if terms.is_other_server:
+            stats.displaced()
+            logger.bind(server=placed.server.id).info('server displaced')
         if terms.is_not_run or answer.status >= SERVER_ERROR:
             stats.failed(now)
             return
--- a/packages/daisylift/src/daisylift/decisions/server_stats.py
+++ b/packages/daisylift/src/daisylift/decisions/server_stats.py
@@ -37,6 +37,7 @@
     hit_rate: float = INITIAL_HIT_RATE
     suspended_until: float = 0.0
     answers: int = 0
+    is_displaced: bool = False
     _others: float = 0.0
     _others_at: float = 0.0
     _failure_rate: float = 0.0
@@ -61,8 +62,8 @@
         return self._failure_rate * math.exp(-age / FAILURE_MEMORY_SECONDS)
 
     def is_suspended(self, now: float) -> bool:
-        """Say whether the server could not be reached a moment ago."""
-        return now < self.suspended_until
+        """Say whether the server is displaced, or could not be reached a moment ago."""
+        return self.is_displaced or now < self.suspended_until
 
     def is_cold(self, now: float) -> bool:
         """Say whether the server has started or come back only recently."""
@@ -92,6 +93,13 @@
         self._others_at = now
         self.slots = max(1, report.slots)
 
+    def displaced(self) -> None:
+        """Rule the server out: another one has its address now.
+
+        A server that registers at another address, or starts anew, has a new record.
+        """
+        self.is_displaced = True
+
     def answered(self, took: float, expected: float) -> None:
         """Learn the server's speed from a request that it answered, in seconds."""
         self.answers += 1
--- a/tests/test_entry_retries.py
+++ b/tests/test_entry_retries.py
@@ -79,6 +79,44 @@
         assert len(first.requests) + len(second.requests) == 1
 
 
+async def test_a_late_word_that_another_request_has_not_run_is_not_believed() -> None:
+    """A second copy of an answer came late, on a connection that was in use again."""
+    stale = http_answer(b'', 'r-0', '503 Service Unavailable', ('Not-Executed: 1',))
+    scripts = [Script(stale), Script(WHOLE)]
+    async with (
+        ScriptedServer(scripts) as first,
+        ScriptedServer(scripts) as second,
+        EntryWorld() as world,
+    ):
+        await world.configure(1, a_rule('/x/', 'till', 'unsafe'))
+        await world.register(
+            i_1=a_registration(first, 'till'), i_2=a_registration(second, 'till')
+        )
+        reply = await world.ask('POST', data=b'pay')
+        assert reply.status == 502
+        assert len(first.requests) + len(second.requests) == 1
+
+
+async def test_a_server_whose_address_another_one_has_is_ruled_out() -> None:
+    """Each request that tries it again would spend one of its few attempts."""
+    async with (
+        ScriptedServer([Script(OTHER)] * 9) as gone,
+        ScriptedServer([Script(WHOLE)] * 9) as sound,
+        EntryWorld() as world,
+    ):
+        await world.configure(1, a_rule('/x/', 'catalogue'))
+        await world.register(i_1=a_registration(gone), i_2=a_registration(sound))
+        for key in range(8):
+            assert (await world.ask(headers={'Affinity-Key': str(key)})).status == 200
+        assert len(gone.requests) == 1
+        moved = a_registration(gone, born=2)
+        gone.scripts = [Script(WHOLE)] * 9
+        await world.register(i_1=moved)
+        for key in range(8):
+            assert (await world.ask(headers={'Affinity-Key': str(key)})).status == 200
+        assert len(gone.requests) > 1
+
+
 async def test_home_regions_bind() -> None:
     async with ScriptedServer([Script(WHOLE)]) as server, EntryWorld() as world:
         await world.configure(1, a_rule('/x/', 'catalogue', home_regions=['dar']))
--- a/tests/test_server_connection.py
+++ b/tests/test_server_connection.py
@@ -190,3 +190,46 @@
             connection.connection_lost(None)
             linger = other.getsockopt(socket.SOL_SOCKET, socket.SO_LINGER, 8)
         assert linger == struct.pack('ii', 0, 0)
+
+
+async def test_a_silent_server_is_noticed_while_it_runs_a_request() -> None:
+    """Nothing is sent then, so only the kernel's probes can tell."""
+    async with ScriptedServer([Script(WHOLE)]) as server:
+        loop = asyncio.get_running_loop()
+        transport, connection = await loop.create_connection(
+            ServerConnection, server.registration().host, server.port
+        )
+        connected = transport.get_extra_info('socket')
+        assert connected.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == 1
+        seconds = connected.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE)
+        seconds += connected.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_KEEPINTVL
+        ) * connected.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT)
+        assert seconds <= 3
+        exchange = asyncio.create_task(connection.exchange(a_request()))
+        await asyncio.sleep(0)
+        connection.connection_lost(TimeoutError('timed out'))
+        with pytest.raises(ExchangeLostError) as lost:
+            await exchange
+        assert lost.value.is_silent
+
+
+async def test_a_crossed_answer_ends_its_connection() -> None:
+    """The true answer may still follow, and would meet the next request there."""
+    crossed = Script(http_answer(b'crossed', 'r-0'), late=WHOLE, late_seconds=0.0)
+    async with ScriptedServer([crossed, Script(WHOLE)]) as server:
+        pool = ServerPool()
+        for outcome in ('lost', 'whole'):
+            try:
+                answer = await pool.exchange(
+                    server.registration(),
+                    a_request(),
+                    True,
+                    lambda answer: (b'Request-Id', b'r-1') in answer.headers,
+                )
+            except ExchangeLostError:
+                assert outcome == 'lost'
+            else:
+                assert (outcome, answer.body) == ('whole', b'whole')
+        assert server.connections == 2
+        pool.close()
