Bound what answers without end may cost: memory, parts, interim heads

Cause: servers in trouble may send bytes that are no answer without end, in a head or a body, until the reader closes. Ruled out: a bound on time alone, as a fast link carries the memory of a VM in a second.

What: one account for the bytes of answers under way, 0.3 of the VM's memory; an answer may have 1024 parts and one more for each 64 bytes of body, and 16 interim heads. Past any of these it is broken off by a reset and counts as lost.

Before: with the two bounds on parts lifted, test_bytes_without_end_are_broken_off fails for tiny chunks and interim heads (never ended, or timers over 0.5 s late); the account is new. After: eight kinds of endless bytes, eight at a time, end in ExchangeLostError with nothing held and no timer 0.5 s late.

--- a/packages/daisylift-node/src/daisylift_node/connection/server_connection.py
+++ b/packages/daisylift-node/src/daisylift_node/connection/server_connection.py
@@ -13,11 +13,15 @@
 
 import h11
 
+from daisylift.decisions.held_bytes import HeldBytes
 from daisylift_node.connection.sockets import watch_for_silence
 from daisylift_node.request.dialect import RawHeaders
 
 MAX_HEAD_BYTES = 64 * 1024
 MAX_ANSWER_BYTES = 64 * 1024 * 1024  # more is not held in memory for one caller
+MAX_INTERIM_HEADS = 16  # of one answer; servers have no reason to send more than one
+FREE_PARTS = 1024  # of one answer; each costs processor time, however short it is
+BYTES_PER_PART = 64  # of the body allow one part more
 RESET_AT_CLOSE = struct.pack('ii', 1, 0)  # linger for 0 s: a reset, no delivery
 SILENCE_TIMEOUT_MS = 1500  # unacknowledged bytes end the connection after this long
 HOP_BY_HOP = frozenset(
@@ -105,8 +109,9 @@
 class ServerConnection(asyncio.Protocol):
     """Sends requests to one backend server, one after the other."""
 
-    def __init__(self) -> None:
+    def __init__(self, held_bytes: HeldBytes | None = None) -> None:
         self.is_open = False
+        self._held_bytes = held_bytes or HeldBytes(MAX_ANSWER_BYTES)
         self.idle_since = 0.0
         self.keep_alive_seconds: float | None = None
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
@@ -115,6 +120,8 @@
         self._head: h11.Response | None = None
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._parts = 0
+        self._interim_heads = 0
         self._answered_early = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -168,7 +175,8 @@
             raise NotSentError('the connection was closed while it was idle')
         loop = asyncio.get_running_loop()
         self._waiting = loop.create_future()
-        self._head, self._body, self._body_bytes = None, [], 0
+        self._head, self._body = None, []
+        self._parts, self._interim_heads = 0, 0
         try:
             self._transport.write(request.wire(self._h11))
             return await self._waiting
@@ -180,6 +188,8 @@
             raise
         finally:
             self._waiting = None
+            self._held_bytes.release(self._body_bytes)
+            self._body_bytes = 0
 
     def is_reusable(self) -> bool:
         """Make ready for the next request; say whether that is possible."""
@@ -220,16 +230,29 @@
                 return
             if isinstance(event, h11.Response):
                 self._head = event
+            elif isinstance(event, h11.InformationalResponse):
+                self._interim_heads += 1
+                if self._interim_heads > MAX_INTERIM_HEADS:
+                    self._fail('the answer has too many interim heads')
             elif isinstance(event, h11.Data):
-                self._body.append(bytes(event.data))
-                self._body_bytes += len(event.data)
-                if self._body_bytes > MAX_ANSWER_BYTES:
-                    self._fail('the answer is too large')
+                self._take_part(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 self._complete()
             elif isinstance(event, h11.ConnectionClosed):
                 self._fail('the connection closed', is_broken=self._head is None)
 
+    def _take_part(self, part: bytes) -> None:
+        self._parts += 1
+        if self._body_bytes + len(part) > MAX_ANSWER_BYTES:
+            self._fail('the answer is too large')
+        elif self._parts > FREE_PARTS + self._body_bytes // BYTES_PER_PART:
+            self._fail('the answer has too many short parts')
+        elif not self._held_bytes.take(len(part)):
+            self._fail('answers under way hold too much memory')
+        else:
+            self._body.append(part)
+            self._body_bytes += len(part)
+
     def _complete(self) -> None:
         head, waiting, transport = self._head, self._waiting, self._transport
         if head is None or waiting is None or transport is None:
--- a/packages/daisylift-node/src/daisylift_node/connection/server_pool.py
+++ b/packages/daisylift-node/src/daisylift_node/connection/server_pool.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from daisylift.decisions.held_bytes import HeldBytes
 from daisylift.models.registered_server import RegisteredServer
 from daisylift_node.connection.server_connection import (
     ExchangeLostError,
@@ -28,7 +29,8 @@
 class ServerPool:
     """Sends requests to backend servers over kept or new connections."""
 
-    def __init__(self) -> None:
+    def __init__(self, held_bytes: HeldBytes | None = None) -> None:
+        self._held_bytes = held_bytes
         self._links_by_key: dict[tuple[str, int], _ServerLink] = {}
         self.opened = 0
 
@@ -101,7 +103,9 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
                 _, connection = await loop.create_connection(
-                    ServerConnection, server.host, server.port
+                    lambda: ServerConnection(self._held_bytes),
+                    server.host,
+                    server.port,
                 )
         except TimeoutError as error:
             raise NotSentError('connecting took too long') from error
--- a/packages/daisylift-node/src/daisylift_node/process/entry_application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_application.py
@@ -11,7 +11,7 @@
 
 from daisylift.decisions.cold_rate import ColdRate, ColdTerms
 from daisylift.decisions.entry_directory import entries_for
-from daisylift.decisions.held_bytes import BODY_SHARE, HeldBytes
+from daisylift.decisions.held_bytes import ANSWER_SHARE, BODY_SHARE, HeldBytes
 from daisylift.decisions.placement import Place
 from daisylift.decisions.region_shift import RegionShift
 from daisylift.decisions.retry_budget import RetryBudget, RetryTerms
@@ -97,7 +97,8 @@
             cores=settings.limits.cores * settings.limits.core_share,
         )
         self.peers = PeerExchange(self.member, self.view, self._clock)
-        self.pool = ServerPool()
+        memory_bytes = settings.limits.memory_mb * BYTES_PER_MB
+        self.pool = ServerPool(HeldBytes(int(ANSWER_SHARE * memory_bytes)))
         self.view.on_server_gone(self.pool.forget)
         terms = RetryTerms(
             bounds.budget_ratio, bounds.budget_extra_attempts, bounds.budget_window_s
@@ -113,14 +114,13 @@
             self.metrics,
             self._clock,
         )
-        body_bytes = int(BODY_SHARE * settings.limits.memory_mb * BYTES_PER_MB)
         self.handler = EntryHandler(
             self.view,
             self.steering,
             PlatformDialect(),
             self.metrics,
             self._clock,
-            HeldBytes(body_bytes),
+            HeldBytes(int(BODY_SHARE * memory_bytes)),
         )
         self._caller_server = web.Server(
             self.handler.handle,
--- a/packages/daisylift/src/daisylift/decisions/held_bytes.py
+++ b/packages/daisylift/src/daisylift/decisions/held_bytes.py
@@ -1,13 +1,15 @@
-"""Bounds the memory that requests' bodies may hold on one entry VM.
+"""Bounds the memory that bodies may hold on one entry VM.
 
-Load pattern: many callers send long bodies at once; without a bound the process would
-be killed and lose every request on it. A body that does not fit is refused before it is
-read.
+Load pattern: many callers send long bodies at once, or servers send answers that do not
+end; without a bound the process would be killed and lose every request on it. A
+request that does not fit is refused before it is read, and an answer that does not fit
+is broken off.
 """
 
 from dataclasses import dataclass
 
-BODY_SHARE = 0.2  # of the VM's memory; answers and the program need the rest
+BODY_SHARE = 0.2  # of the VM's memory, for requests
+ANSWER_SHARE = 0.3  # the same for answers under way; the program needs the rest
 
 
 @dataclass(slots=True)
--- a/tests/test_server_connection.py
+++ b/tests/test_server_connection.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from daisylift.decisions.held_bytes import HeldBytes
 from daisylift_node.connection.server_connection import (
     ExchangeLostError,
     NotSentError,
@@ -233,3 +234,80 @@
                 assert (outcome, answer.body) == ('whole', b'whole')
         assert server.connections == 2
         pool.close()
+
+
+HEAD = b'HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\n'
+ENDLESS = {
+    'head': (b'', b'X-More: aaaaaaaaaaaaaaaa\r\n' * 2000),
+    'head without lines': (b'', b'a' * 65536),
+    'interim heads': (b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 100),
+    'body without length': (HEAD + b'\r\n', b'a' * 65536),
+    'large chunks': (
+        HEAD + b'Transfer-Encoding: chunked\r\n\r\n',
+        b'10000\r\n' + b'a' * 65536 + b'\r\n',
+    ),
+    'tiny chunks': (
+        HEAD + b'Transfer-Encoding: chunked\r\n\r\n',
+        b'1\r\na\r\n' * 10000,
+    ),
+    'chunk extension': (
+        HEAD + b'Transfer-Encoding: chunked\r\n\r\n1',
+        b';a=aaaaaaaa' * 5000,
+    ),
+    'trailers': (
+        HEAD + b'Transfer-Encoding: chunked\r\n\r\n0\r\n',
+        b'X-More: aaaaaaaaaaaaaaaa\r\n' * 2000,
+    ),
+}
+HELD_LIMIT_BYTES = 4 * 1024 * 1024
+MOST_SENT_BYTES = 256 * 1024 * 1024  # by then the reader must have closed
+LATE_SECONDS = 0.5  # timers of other requests must not wait longer than this
+
+
+@pytest.mark.parametrize('kind', sorted(ENDLESS))
+async def test_bytes_without_end_are_broken_off(kind: str) -> None:
+    """They come until the reader closes; other requests must not suffer."""
+    head, more = ENDLESS[kind]
+    sent = 0
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal sent
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(head)
+        try:
+            while sent < MOST_SENT_BYTES:
+                writer.write(more)
+                sent += len(more)
+                await writer.drain()
+        except ConnectionError:
+            return
+        finally:
+            writer.close()
+
+    listener = await asyncio.start_server(serve, '127.0.0.1', 0)
+    port = listener.sockets[0].getsockname()[1]
+    server = replace(ScriptedServer([]).registration(), port=port)
+    held = HeldBytes(HELD_LIMIT_BYTES)
+    pool = ServerPool(held)
+    loop = asyncio.get_running_loop()
+    worst = 0.0
+
+    async def watch() -> None:
+        nonlocal worst
+        while True:
+            due = loop.time() + 0.01
+            await asyncio.sleep(0.01)
+            worst = max(worst, loop.time() - due)
+
+    watcher = asyncio.create_task(watch())
+    async with asyncio.timeout(10.0):
+        ends = await asyncio.gather(
+            *(pool.exchange(server, a_request(), True) for _ in range(8)),
+            return_exceptions=True,
+        )
+    watcher.cancel()
+    listener.close()
+    assert [type(end) for end in ends] == [ExchangeLostError] * 8
+    assert sent < MOST_SENT_BYTES
+    assert held.held == 0
+    assert worst < LATE_SECONDS
