Let one VM of each failure domain watch the store, and no other probe it

Each change costs a call for each watcher, and there were two in each of nine failure domains. VMs that need not watch looked by themselves each 20 s, four kinds each; a look that failed turned them into probers until the store answered. Ruled out: copies from peers at a start, which would make all VMs ready later after a loss of power for about 1,000 calls; one watcher a region, as a store that turns away a third of the VMs could then turn away all watchers. Pauses are now spread below their length.

--- a/packages/daisylift-node/src/daisylift_node/version/replica.py
+++ b/packages/daisylift-node/src/daisylift_node/version/replica.py
@@ -23,13 +23,14 @@
 )
 
 ROLE_POLL_SECONDS = 0.5  # how soon a VM takes over the watch of one that was lost
-RARE_PAUSE_SECONDS = 20.0  # between a VM's own looks while peers keep it up to date
+RARE_PAUSE_SECONDS = 60.0  # between a VM's own looks while peers keep it up to date
 MAX_RECENT_CHANGES = 1000  # kept to tell peers what is new instead of everything
 REFRESH_PAUSE_SECONDS = 0.5  # between renewals, so that copies don't renew in turns
 DEFAULT_WATCH_SECONDS = 2.5  # a watch that has gone deaf is noticed in this time
 PROBE_SECONDS = 0.3  # the same while the store does not answer: a lost call shows soon
 FIRST_PAUSE_SECONDS = 0.1  # after a call that failed
 MAX_PAUSE_SECONDS = 0.8  # between probes of a store that does not answer
+MIN_PAUSE_SHARE = 0.6  # pauses are spread from here up, never beyond their length
 FOLLOWER_PAUSE_SECONDS = 2.0  # the same for kinds that leave probing to another kind
 BATCH_SECONDS = 0.2  # changes that come together are then told in one answer
 
@@ -115,7 +116,10 @@
                 self._note_connection(False, str(error))
                 relist = relist or not self.is_loaded
                 self._on_interruption(self.kind)
-                await self._pause(pause * random.uniform(0.7, 1.3))
+                if self.is_loaded and not self._watches_store():
+                    await self._leave_to_others()
+                    continue
+                await self._pause(pause * random.uniform(MIN_PAUSE_SHARE, 1.0))
                 pause = min(2.0 * pause, MAX_PAUSE_SECONDS)
                 if self._store_answers is not None and not self._store_answers():
                     pause = FOLLOWER_PAUSE_SECONDS
--- a/packages/daisylift/src/daisylift/decisions/fleet_roles.py
+++ b/packages/daisylift/src/daisylift/decisions/fleet_roles.py
@@ -2,8 +2,10 @@
 
 Load pattern: hundreds of entry VMs behind one store whose rates grow more slowly than
 the fleet, and a budget of a few kilobytes a second for each VM. In a small fleet every
-VM watches the store itself. In a large one a few of each failure domain do; the others
-hear from peers that there is news, and ask the store only now and then. Heartbeats go
+VM watches the store itself. In a larger one the first live VM of each failure domain
+does; the others hear from peers that there is news, and ask the store only now and
+then. A watcher that is lost is made up for by the news of other failure domains until
+the next VM takes its place. Heartbeats go
 mostly inside a failure domain, as callers are sent to VMs of their own.
 """
 
@@ -14,8 +16,7 @@
 
 ALL_WATCH_FLEET = 10  # VMs; up to here each watches, and none waits for another
 SMALL_FLEET = 40  # VMs; up to here heartbeats of all reach all in one datagram or two
-SMALL_FLEET_WATCHERS = 1  # of each failure domain; one of them all is enough for news
-WATCHERS = 2  # of each failure domain in a large fleet, where news takes longer
+WATCHERS = 1  # of each failure domain; a change costs the store a call for each
 NEAR_FANOUT = 2  # peers of the own failure domain told each time
 FAR_FANOUT = 1  # others told each time; carries news between failure domains
 
@@ -31,8 +32,7 @@
         for member in members
         if member.failure_domain == own.failure_domain and member.name in live
     )
-    count = SMALL_FLEET_WATCHERS if len(members) <= SMALL_FLEET else WATCHERS
-    return own.name in near[:count] or own.name not in near
+    return own.name in near[:WATCHERS] or own.name not in near
 
 
 def gossip_targets(
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -270,6 +270,32 @@
     await asyncio.gather(task, return_exceptions=True)
 
 
+async def test_a_vm_that_need_not_watch_does_not_probe_a_store_that_fails(
+    store: MemoryStore, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Hundreds of VMs that the store turns away would each ask it all the while."""
+    monkeypatch.setattr(replica_module, 'ROLE_POLL_SECONDS', 0.02)
+    replica = Replica(
+        'servers', store, lambda names: None, 0.01, watches_store=lambda: watches
+    )
+    watches = True
+    task = asyncio.create_task(replica.follow())
+    await asyncio.sleep(0.05)
+    store.failure = StoreError('status 429')
+    replica.refresh()
+    await asyncio.sleep(0.05)
+    watches = False
+    store.waits.clear()
+    await asyncio.sleep(1.5)
+    assert len(store.waits) <= 2
+    store.failure = None
+    watches = True
+    await asyncio.sleep(0.1)
+    assert replica.is_connected
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
 async def test_a_kind_that_waits_long_tries_at_once_when_another_is_answered(
     store: MemoryStore,
 ) -> None:
