Let a region's average weigh in the wait, not in whether a server has room

Ruled out: the learned warm shares, which stay as they are.

What: room is judged by a server's own report again; the average counts in the expected wait, so that a poor region's requests still prefer other regions.

--- a/packages/daisylift/src/daisylift/decisions/placement.py
+++ b/packages/daisylift/src/daisylift/decisions/placement.py
@@ -292,7 +292,7 @@
             seen = object_key is not None and stats.has_seen(object_key)
             warm = candidate.record.warm_share(seen)
             occupancy = stats.occupancy(now, candidate.record.busy(now))
-            if not self._has_room(candidate, occupancy):
+            if not self._has_room(candidate, now):
                 continue
             work = warm * estimate.warm_seconds + (1.0 - warm) * estimate.cold_seconds
             work *= stats.slowness
@@ -310,14 +310,14 @@
                 best_cost = cost
         return best
 
-    def _has_room(self, candidate: Candidate, occupancy: float) -> bool:
+    def _has_room(self, candidate: Candidate, now: float) -> bool:
         stats = candidate.stats
         slots = stats.slots
         if candidate.region == self._place.region:
             limit = slots * (1.0 + HOME_QUEUE_SHARE)
         else:
             limit = slots
-        return stats.in_flight < limit and occupancy + 0.5 < limit
+        return stats.in_flight < limit and stats.occupancy(now) + 0.5 < limit
 
     def _distance_seconds(self, candidate: Candidate) -> float:
         if candidate.server.failure_domain == self._place.failure_domain:
