Probe servers only for requests that may be repeated, and take two lost probes

Cause: read after. And the kernel ends a connection once 1.5 s are over with any probe unanswered, so a link that loses one packet in twenty ended sound runs of two seconds.

What: probes are switched off while an order runs; silence is 2.5 s, two probes in a row. Ruled out: probes less often, as a look-up at a machine without power then waits longer. Test: test_an_order_at_a_silent_server_is_not_given_up (before: probed for all).

--- a/packages/daisylift-node/src/daisylift_node/connection/server_connection.py
+++ b/packages/daisylift-node/src/daisylift_node/connection/server_connection.py
@@ -14,7 +14,7 @@
 import h11
 
 from daisylift.decisions.held_bytes import HeldBytes
-from daisylift_node.connection.sockets import watch_for_silence
+from daisylift_node.connection.sockets import probe_while_idle, watch_for_silence
 from daisylift_node.request.dialect import RawHeaders
 
 MAX_HEAD_BYTES = 64 * 1024
@@ -23,7 +23,7 @@
 FREE_PARTS = 1024  # of one answer; each costs processor time, however short it is
 BYTES_PER_PART = 64  # of the body allow one part more
 RESET_AT_CLOSE = struct.pack('ii', 1, 0)  # linger for 0 s: a reset, no delivery
-SILENCE_TIMEOUT_MS = 1500  # unacknowledged bytes end the connection after this long
+SILENCE_TIMEOUT_MS = 2500  # two probes in a row must have gone unanswered
 HOP_BY_HOP = frozenset(
     {
         b'connection',
@@ -116,6 +116,7 @@
         self.keep_alive_seconds: float | None = None
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._transport: asyncio.Transport | None = None
+        self._is_probed = True
         self._waiting: asyncio.Future[ServerAnswer] | None = None
         self._head: h11.Response | None = None
         self._body: list[bytes] = []
@@ -164,17 +165,23 @@
             reason = 'the server has gone silent'
         self._fail(reason, is_broken=self._head is None, is_silent=is_silent)
 
-    async def exchange(self, request: ServerRequest) -> ServerAnswer:
+    async def exchange(
+        self, request: ServerRequest, repeatable: bool = True
+    ) -> ServerAnswer:
         """Send the request and return its complete answer.
 
+        A repeatable request is given up when the server's machine goes silent; another
+        one waits, as the machine may only be cut off for a while and nobody else can
+        be asked.
+
         Raises NotSentError, ExchangeLostError, or UnsendableError before a byte was
         sent. If cancelled, the connection is closed, so that the server can drop the
         request.
         """
         if not self.is_open or self._transport is None or self._transport.is_closing():
             raise NotSentError('the connection was closed while it was idle')
-        loop = asyncio.get_running_loop()
-        self._waiting = loop.create_future()
+        self._probe(repeatable)
+        self._waiting = asyncio.get_running_loop().create_future()
         self._head, self._body = None, []
         self._parts, self._interim_heads = 0, 0
         try:
@@ -223,6 +230,12 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _probe(self, enabled: bool) -> None:
+        if enabled == self._is_probed or self._transport is None:
+            return
+        probe_while_idle(self._transport.get_extra_info('socket'), enabled)
+        self._is_probed = enabled
+
     def _take_events(self) -> None:
         while self._waiting is not None and not self._waiting.done():
             event = self._h11.next_event()
--- a/packages/daisylift-node/src/daisylift_node/connection/server_pool.py
+++ b/packages/daisylift-node/src/daisylift_node/connection/server_pool.py
@@ -52,7 +52,7 @@
         connection = self._kept(key, repeatable)
         if connection is None:
             connection = await self._open(server)
-        answer = await connection.exchange(request)
+        answer = await connection.exchange(request, repeatable)
         if not is_own(answer):
             connection.reset()
             raise ExchangeLostError('the answer belongs to another request')
--- a/tests/test_server_connection.py
+++ b/tests/test_server_connection.py
@@ -215,6 +215,30 @@
         assert lost.value.is_silent
 
 
+async def test_an_order_at_a_silent_server_is_not_given_up() -> None:
+    """The server may only be cut off; its answer can still come."""
+    scripts = [Script(WHOLE, after_seconds=0.1) for _ in range(4)]
+    async with ScriptedServer(scripts) as server:
+        loop = asyncio.get_running_loop()
+        transport, connection = await loop.create_connection(
+            ServerConnection, server.registration().host, server.port
+        )
+        connected = transport.get_extra_info('socket')
+
+        def is_probed() -> bool:
+            return bool(connected.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE))
+
+        for repeatable in (True, False, True):
+            exchange = asyncio.create_task(
+                connection.exchange(a_request(b'x'), repeatable)
+            )
+            await asyncio.sleep(0.01)
+            assert is_probed() is repeatable
+            await exchange
+            assert connection.is_reusable()
+        connection.close()
+
+
 async def test_a_crossed_answer_ends_its_connection() -> None:
     """The true answer may still follow, and would meet the next request there."""
     crossed = Script(http_answer(b'crossed', 'r-0'), late=WHOLE, late_seconds=0.0)
