Close what answers until the end of a planned stop before the process ends

Readiness, directory and metrics were never closed: a connection that one of them accepted while the event loop closed left its task behind. Ruled out by reading and by a replay of 20 callers that connect all through a stop: the callers' port, which is closed at half the grace.

What: their listeners and connections close once the last answers are sent. Before: test_a_stop_leaves_no_listener_and_no_connection_behind fails (the directory still accepts).

--- a/packages/daisylift-node/src/daisylift_node/process/entry_application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_application.py
@@ -48,6 +48,7 @@
 STOP_ACCEPT_SHARE = 0.5  # of the grace: callers have heard of other VMs by then
 STOP_MARGIN_SECONDS = 0.4  # of the grace is left for the end of the process
 STOP_POLL_SECONDS = 0.02
+SIDE_STOP_SECONDS = 0.05  # their answers come from memory
 MILLISECONDS = 1000.0
 DEAF_MARGIN_SECONDS = 0.5  # for the list that follows a watch which heard nothing
 MIN_WATCH_SECONDS = 0.5
@@ -130,6 +131,8 @@
             handler_cancellation=True,
         )
         self._listeners: list[asyncio.Server] = []
+        self._side_servers: list[web.Server] = []
+        self._side_listeners: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -146,14 +149,15 @@
                 backlog=LISTEN_BACKLOG,
             ),
         ]
-        for address, handle in (
-            (listen.readiness, self._readiness),
-            (listen.directory, self._directory),
+        for handle, host, port in (
+            (self._readiness, listen.readiness.host, listen.readiness.port),
+            (self._directory, listen.directory.host, listen.directory.port),
+            (self._metrics_page, self.settings.vm.host, listen.metrics_port),
         ):
-            await loop.create_server(web.Server(handle), address.host, address.port)
-        await loop.create_server(
-            web.Server(self._metrics_page), self.settings.vm.host, listen.metrics_port
-        )
+            server = web.Server(handle)
+            self._side_servers.append(server)
+            listener = await loop.create_server(server, host, port)
+            self._side_listeners.append(listener)
         for replica in self.view.replicas_by_kind.values():
             self._tasks.append(asyncio.create_task(replica.follow()))
         self._tasks.append(asyncio.create_task(self._register()))
@@ -193,6 +197,7 @@
         left = ends_at - self._clock()
         await self._caller_server.shutdown(max(left, STOP_POLL_SECONDS))
         await self._until_sent(transports, ends_at)
+        await self._stop_side_servers()
         for task in self._tasks:
             task.cancel()
         await self.timer.stop()
@@ -202,6 +207,18 @@
         logger.bind(seconds=round(self._clock() - started, 2)).info('stopped')
         await self._lines.drain()
 
+    async def _stop_side_servers(self) -> None:
+        """Close what answers until the end: readiness, directory and metrics.
+
+        A connection that they accepted while the event loop closes would leave a task
+        behind.
+        """
+        for listener in self._side_listeners:
+            listener.close()
+        for server in self._side_servers:
+            server.pre_shutdown()
+            await server.shutdown(SIDE_STOP_SECONDS)
+
     async def _until_sent(
         self, transports: Iterable[asyncio.Transport], ends_at: float
     ) -> None:
--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -3,6 +3,8 @@
 import asyncio
 import socket
 
+import pytest
+
 from tests.entry_world import EntryWorld, a_registration, a_rule
 from tests.fakes.scripted_server import Script, ScriptedServer, http_answer
 
@@ -47,3 +49,20 @@
                 answer += chunk
             await stopping
     assert answer.endswith(BODY)
+
+
+async def test_a_stop_leaves_no_listener_and_no_connection_behind() -> None:
+    """Soak seed 7104: a look-up came while the event loop closed."""
+    async with EntryWorld() as world:
+        application = world.application
+        assert application is not None
+        for listener, path in (('directory', '/-/resolve'), ('readiness', '/')):
+            await world.look(listener, path)
+        await application.stop()
+        listen = application.settings.listen
+        for address in (listen.caller, listen.directory, listen.readiness):
+            with pytest.raises(OSError):
+                await asyncio.open_connection(address.host, address.port)
+        await asyncio.sleep(0.05)
+        for server in (application._caller_server, *application._side_servers):
+            assert not server.connections
