--- a/tests/test_entry_path.py
+++ b/tests/test_entry_path.py
@@ -5,6 +5,7 @@
 import aiohttp
 import pytest
 
+from daisylift_node.version.fleet_view import LAPSE_SECONDS
 from tests.entry_world import EntryWorld, a_registration, a_rule
 from tests.fakes.scripted_server import Script, ScriptedServer, http_answer
 
@@ -98,6 +99,23 @@
         assert (await world.ask()).status == 200
 
 
+async def test_a_server_whose_registration_lapses_for_a_moment_is_kept() -> None:
+    """It may only have been silent; one that stays away is given up."""
+    async with ScriptedServer([Script(WHOLE)] * 9) as server, EntryWorld() as world:
+        await world.configure(1, a_rule('/x/', 'catalogue'))
+        registration = a_registration(server)
+        await world.register(i_1=registration)
+        world.store.remove('servers', 'i-1')
+        await asyncio.sleep(0.5)
+        assert (await world.ask()).status == 200
+        await world.register(i_1=registration)
+        await asyncio.sleep(LAPSE_SECONDS)
+        assert (await world.ask()).status == 200
+        world.store.remove('servers', 'i-1')
+        await asyncio.sleep(LAPSE_SECONDS + 1.0)
+        assert (await world.ask()).status == 503
+
+
 async def test_a_registration_that_can_not_be_read_leaves_the_others() -> None:
     async with ScriptedServer([Script(WHOLE)]) as server, EntryWorld() as world:
         await world.configure(1, a_rule('/x/', 'catalogue'))
