Log and count the request rate limits that servers name

Logs and metrics did not separate "no VM reads the limit" from "each VM keeps it alone". The header is now decoded once in platform/, kept with the statistics of the server's incarnation, and a change is logged with the value before and the source; daisylift_limited_sends_total counts what was sent to servers under a limit, and the end of a request names the limit that was in force. Nothing acts on it yet.

A limit is lowered at once, but raised or withdrawn only by the response to a request that was sent after the current value was adopted: responses overtake each other. The stand-in names Server-Limit in each response.

--- a/packages/daisylift-node/src/daisylift_node/platform/headers.py
+++ b/packages/daisylift-node/src/daisylift_node/platform/headers.py
@@ -13,6 +13,7 @@
 NOT_EXECUTED = 'Not-Executed'  # any value: the presence of the header counts
 RESPONSE_STAMP = 'Response-Stamp'  # a MAC of the response
 LOAD = 'Server-Load'  # "running,waiting,slots"
+LIMIT = 'Server-Limit'  # requests per second from all nodes together
 MS_PER_SECOND = 1000.0
 MISDIRECTED_STATUS = 421
 HEADERS_SET_BY_NODE = frozenset(
@@ -49,12 +50,16 @@
         self, status: int, headers: Mapping[str, str]
     ) -> ResponseMetadata:
         """Return the metadata that the server sent with its response."""
+        limit_text = headers.get(LIMIT.lower())
+        limit_per_second = _rate(limit_text)
         return ResponseMetadata(
             request_id=headers.get(REQUEST_ID.lower()),
             is_stamped=RESPONSE_STAMP.lower() in headers,
             was_not_run=NOT_EXECUTED.lower() in headers or status == MISDIRECTED_STATUS,
             is_other_server=status == MISDIRECTED_STATUS,
             load=_load(headers.get(LOAD.lower())),
+            limit_per_second=limit_per_second,
+            has_unreadable_limit=limit_text is not None and limit_per_second is None,
         )
 
 
@@ -68,6 +73,16 @@
     return max(0.0, seconds) if math.isfinite(seconds) else None
 
 
+def _rate(text: str | None) -> float | None:
+    if text is None:
+        return None
+    try:
+        rate = float(text)
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0.0 else None
+
+
 def _load(text: str | None) -> LoadReport | None:
     if text is None:
         return None
--- a/packages/daisylift-node/src/daisylift_node/process/entry_metrics.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_metrics.py
@@ -45,6 +45,12 @@
             ('service',),
             registry=self.registry,
         )
+        self._limited_sends = Counter(
+            'daisylift_limited_sends',
+            'Requests sent to servers that named a request rate limit.',
+            ('service',),
+            registry=self.registry,
+        )
         self._lines_dropped = Gauge(
             'daisylift_log_lines_dropped',
             'Log lines left out because nobody read them in time.',
@@ -77,6 +83,10 @@
         """Set the number of requests that wait for a slot."""
         self._waiting.labels(service).set(count)
 
+    def count_limited_send(self, service: str) -> None:
+        """Count a request sent to a server that has named a request rate limit."""
+        self._limited_sends.labels(service).inc()
+
     def set_lines_dropped(self, count: int) -> None:
         """Set the number of dropped log lines."""
         self._lines_dropped.set(count)
--- a/packages/daisylift-node/src/daisylift_node/request/dialect.py
+++ b/packages/daisylift-node/src/daisylift_node/request/dialect.py
@@ -23,7 +23,9 @@
     """What a backend server states about its response.
 
     ``was_not_run``: the server states that it has not run the request.
-    ``is_other_server``: another server has the address now.
+    ``is_other_server``: another server has the address now. ``limit_per_second``: the
+    requests per second that the server accepts from all nodes together, None if it
+    names no limit; ``has_unreadable_limit``: it names one that cannot be decoded.
     """
 
     request_id: str | None
@@ -31,6 +33,8 @@
     was_not_run: bool
     is_other_server: bool
     load: LoadReport | None
+    limit_per_second: float | None = None
+    has_unreadable_limit: bool = False
 
 
 class Dialect(Protocol):
--- a/packages/daisylift-node/src/daisylift_node/request/entry_handler.py
+++ b/packages/daisylift-node/src/daisylift_node/request/entry_handler.py
@@ -148,6 +148,7 @@
                 service=service,
                 **_placement_fields(call.placement),
                 sends=call.sends,
+                **_limit_fields(call),
                 unreachable=call.unreachable,
                 waited=round(call.waited_seconds, 4),
             )
@@ -175,6 +176,10 @@
     }
 
 
+def _limit_fields(call: SteeredCall) -> dict[str, object]:
+    return {} if call.server_limit is None else {'server_limit': call.server_limit}
+
+
 def _summary(outcome: Outcome) -> tuple[str, int, str]:
     if isinstance(outcome, Answered):
         return 'answered', outcome.response.status, ''
--- a/packages/daisylift-node/src/daisylift_node/request/steered_call.py
+++ b/packages/daisylift-node/src/daisylift_node/request/steered_call.py
@@ -15,7 +15,8 @@
 class SteeredCall:
     """A caller's request while it is steered. Times are monotonic, in seconds.
 
-    ``digest`` identifies the request across callers and repeats.
+    ``digest`` identifies the request across callers and repeats. ``server_limit`` is
+    the request rate limit of the server that it was sent to last, per second.
     """
 
     request_id: str
@@ -35,6 +36,7 @@
     may_have_run: bool = False
     waited_seconds: float = 0.0
     placement: Placement | None = None
+    server_limit: float | None = None
 
     @property
     def target_at(self) -> float:
--- a/packages/daisylift-node/src/daisylift_node/request/steering.py
+++ b/packages/daisylift-node/src/daisylift_node/request/steering.py
@@ -33,7 +33,11 @@
 from daisylift_node.process.entry_metrics import EntryMetrics
 from daisylift_node.process.poison_requests import PoisonRequestRegister
 from daisylift_node.request.dialect import Dialect, ResponseMetadata
-from daisylift_node.request.learning import SERVER_ERROR, learn_from_response
+from daisylift_node.request.learning import (
+    SERVER_ERROR,
+    learn_from_response,
+    learn_limit,
+)
 from daisylift_node.request.outcome import Answered, Failed, Outcome, Reason, Refused
 from daisylift_node.request.send_result import SendResult
 from daisylift_node.request.steered_call import SteeredCall
@@ -219,6 +223,9 @@
         )
         call.tried_server_ids.add(server.id)
         call.placement = placement
+        call.server_limit = stats.limit.per_second
+        if call.server_limit is not None:
+            self._metrics.count_limited_send(call.service)
         try:
             async with asyncio.timeout(seconds):
                 response = await self._exchange(call, placement, request)
@@ -251,6 +258,7 @@
             has_object,
             now,
         )
+        learn_limit(placement, metadata, started, now)
         return SendResult(response, metadata, was_sent=True)
 
     async def _exchange(
--- a/packages/daisylift/src/daisylift/decisions/server_stats.py
+++ b/packages/daisylift/src/daisylift/decisions/server_stats.py
@@ -4,6 +4,8 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
+from daisylift.decisions.server_limits import ServerLimit
+
 LOAD_REPORT_DECAY_SECONDS = 0.6  # half of the reported load of others is stale by then
 SMOOTHING = 0.15  # weight of the newest sample in moving averages
 FAILURE_SMOOTHING = 0.2  # five failures in a row bring the rate to two thirds
@@ -45,6 +47,7 @@
     suspended_until: float = 0.0
     responses: int = 0
     is_displaced: bool = False
+    limit: ServerLimit = field(default_factory=ServerLimit)
     _others_load: float = 0.0
     _others_load_updated_at: float = -math.inf
     _failure_rate: float = 0.0
--- a/tests/fakes/platform_server.py
+++ b/tests/fakes/platform_server.py
@@ -3,6 +3,7 @@
 It runs one request per slot, queues up to QUEUED_PER_SLOT requests per slot and rejects
 the rest with 503. The response body and stamp are derived from the server id and the
 request id, so that a response from a wrong server or to another request is detected.
+While it has a limit, it names it in every response, as the protocol says.
 """
 
 import asyncio
@@ -56,6 +57,8 @@
     body_bytes: int = 2000
     lose_answers: bool = False
     spoil_answers: bool = False
+    limit_per_second: float | None = None
+    arrivals: list[float] = field(default_factory=list)
     port: int = 0
     born: int = 1
     _running: int = 0
@@ -111,8 +114,11 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         request_id = request.headers.get('Request-Id', '')
         headers = {'Request-Id': request_id, 'Instance-Id': self.id}
+        if self.limit_per_second is not None:
+            headers['Server-Limit'] = f'{self.limit_per_second:g}'
         if request.headers.get('Target-Instance', self.id) != self.id:
             return web.Response(status=421, headers=headers)
+        self.arrivals.append(asyncio.get_running_loop().time())
         if self._waiting >= self.slots * QUEUED_PER_SLOT:
             return web.Response(status=503, headers=headers | NOT_EXECUTED)
         await request.read()
