Keep the limits that servers name, over all entry VMs together

Callers saw nothing; servers that named a Server-Limit of 7 to 10 requests a second went on getting 20 to 50.

Cause: the limit was not part of any decision. Placement knew slots, load and cold starts; the header passed through to the caller.

The rate is now divided among the registered VMs, by a weight of 8 for those in the server's region, over as many VMs as the rate has requests a second, chosen by a weighted hash for each server (decisions/limit_shares.py). The sum of the shares is the rate, whoever is cut off, frozen or has not heard: no message is needed for the bound. Each VM spends its share by a token bucket (decisions/server_limits.py). A VM without a share hears of a raised or withdrawn limit by gossip (decisions/limit_notices.py), and asks the server itself if nobody has heard of it for long. Datagrams with limits have a version of their own, so that older VMs keep reading heartbeats during an upgrade.

Requests over the limit go to the next server of their object. If every server that may serve has a limit, a request that would wait too long for the rate is refused at once (rate_limited) with the time to return.

--- a/packages/daisylift-node/src/daisylift_node/connection/gossip_codec.py
+++ b/packages/daisylift-node/src/daisylift_node/connection/gossip_codec.py
@@ -6,25 +6,38 @@
 hash of the VM's name, incarnation, counter, and whether the VM is ready. Names are
 long, and all nodes have them from the store, so hashes are sent instead. Records with
 an unknown hash are skipped.
+
+Limits that servers have named are sent in datagrams of their own, with a version that
+older nodes refuse: the version, the number of limits, and for each the server's
+incarnation, the limit (negative if withdrawn) and its age in milliseconds.
 """
 
+import math
 import struct
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 import xxhash
 
+from daisylift.decisions.limit_notices import LimitNotice
 from daisylift.decisions.liveness import Heartbeat
 from daisylift.decisions.poison_notices import BreakNotice
 from daisylift.decisions.poison_requests import DIGEST_BYTES
 from daisylift.errors import DaisyliftError
 
 CODEC_VERSION = 2
+LIMITS_VERSION = 3
 HEADER = struct.Struct('!BBB')
 REVISION = struct.Struct('!Q')
 NOTICE = struct.Struct(f'!{DIGEST_BYTES}sQ')
 RECORD = struct.Struct('!III?')
+LIMITS_HEADER = struct.Struct('!BB')
+LIMIT = struct.Struct('!QdI')
 MAX_NOTICES_PER_DATAGRAM = 4  # keeps gossip below 6 KB per second
+MAX_NOTICES_BESIDE_LIMITS = 2  # the same while limits are sent as well
+MAX_LIMITS_PER_DATAGRAM = 4
+WITHDRAWN = -1.0
+MS_PER_SECOND = 1000.0
 MAX_UNSIGNED = 2**32 - 1
 
 
@@ -42,6 +55,7 @@
     heartbeats: tuple[Heartbeat, ...]
     revisions: tuple[int, ...]
     notices: tuple[BreakNotice, ...] = ()
+    limits: tuple[LimitNotice, ...] = ()
 
 
 def name_hash(name: str) -> int:
@@ -73,6 +87,8 @@
 def decode(data: bytes, names_by_hash: Mapping[int, str]) -> Gossip:
     """Return the content of the datagram; raise GossipError if it can't be decoded."""
     try:
+        if data[:1] == bytes([LIMITS_VERSION]):
+            return Gossip((), (), limits=_decode_limits(data))
         version, count, notice_count = HEADER.unpack_from(data)
         if version != CODEC_VERSION:
             raise GossipError(f'unknown datagram version {version}')
@@ -97,3 +113,34 @@
         if hashed in names_by_hash
     )
     return Gossip(heartbeats, revisions, notices)
+
+
+def encode_limits(limits: Sequence[LimitNotice]) -> bytes:
+    """Return the datagram with limits that servers have named."""
+    parts = [LIMITS_HEADER.pack(LIMITS_VERSION, len(limits))]
+    parts += [
+        LIMIT.pack(
+            each.incarnation_id,
+            WITHDRAWN if each.per_second is None else each.per_second,
+            min(MAX_UNSIGNED, int(each.age_seconds * MS_PER_SECOND)),
+        )
+        for each in limits
+    ]
+    return b''.join(parts)
+
+
+def _decode_limits(data: bytes) -> tuple[LimitNotice, ...]:
+    _, count = LIMITS_HEADER.unpack_from(data)
+    if len(data) != LIMITS_HEADER.size + count * LIMIT.size:
+        raise GossipError(f'malformed datagram of {len(data)} bytes: {count} limits')
+    records = list(LIMIT.iter_unpack(data[LIMITS_HEADER.size :]))
+    if not all(math.isfinite(per_second) for _, per_second, _ in records):
+        raise GossipError('malformed datagram: a limit is not a finite number')
+    return tuple(
+        LimitNotice(
+            incarnation_id,
+            None if per_second < 0.0 else per_second,
+            milliseconds / MS_PER_SECOND,
+        )
+        for incarnation_id, per_second, milliseconds in records
+    )
--- a/packages/daisylift-node/src/daisylift_node/process/entry_application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_application.py
@@ -16,6 +16,7 @@
 )
 from daisylift.decisions.cold_start import ColdStartLimiter, ColdStartLimits
 from daisylift.decisions.entry_directory import select_entry_addresses
+from daisylift.decisions.limit_shares import LimitShares
 from daisylift.decisions.ranking import Location
 from daisylift.decisions.region_shift import RegionShiftLimiter
 from daisylift.decisions.retry_budget import RetryBudget, RetryLimits
@@ -32,7 +33,11 @@
 )
 from daisylift_node.process.bounded_lines import BoundedLines
 from daisylift_node.process.entry_metrics import EntryMetrics
-from daisylift_node.process.peer_exchange import GOSSIP_PERIOD_SECONDS, PeerExchange
+from daisylift_node.process.peer_exchange import (
+    GOSSIP_PERIOD_SECONDS,
+    LIMITS_PERIOD_SECONDS,
+    PeerExchange,
+)
 from daisylift_node.process.timer import TimerService
 from daisylift_node.request.entry_handler import EntryHandler
 from daisylift_node.request.steering import Steering
@@ -90,6 +95,7 @@
             self._documents,
             self.store,
             cold_start_limiter,
+            LimitShares(vm.id),
             self._clock,
             watch_seconds(bounds.stability_window_ms / MS_PER_SECOND),
         )
@@ -167,6 +173,7 @@
             self._tasks.append(asyncio.create_task(replica.follow()))
         self._tasks.append(asyncio.create_task(self._register()))
         self.timer.subscribe(GOSSIP_PERIOD_SECONDS, self._gossip)
+        self.timer.subscribe(LIMITS_PERIOD_SECONDS, self.peers.send_limits)
         self.timer.subscribe(WAKE_PERIOD_SECONDS, self._wake)
         self.timer.subscribe(EXPIRE_LAPSED_PERIOD_SECONDS, self.view.expire_lapsed)
         self.timer.subscribe(CLOSE_IDLE_PERIOD_SECONDS, self.pool.close_idle)
--- a/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
+++ b/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
@@ -1,8 +1,8 @@
 """Gossip between entry VMs, and exchange of their copies of the store.
 
-Heartbeats, poison notices and revisions are sent in datagrams. A VM whose copy stays
-behind that of a peer fetches the peer's copy over HTTP, so that VMs that the store
-refuses to serve stay up to date too.
+Heartbeats, poison notices, revisions and limits of servers are sent in datagrams. A VM
+whose copy stays behind that of a peer fetches the peer's copy over HTTP, so that VMs
+that the store refuses to serve stay up to date too.
 """
 
 import asyncio
@@ -28,10 +28,13 @@
 from daisylift.decisions.poison_requests import Digest, PoisonRequestCounter
 from daisylift.models.registered_server import EntryMember
 from daisylift_node.connection.gossip_codec import (
+    MAX_LIMITS_PER_DATAGRAM,
+    MAX_NOTICES_BESIDE_LIMITS,
     MAX_NOTICES_PER_DATAGRAM,
     GossipError,
     decode,
     encode,
+    encode_limits,
     name_hash,
 )
 from daisylift_node.process.poison_requests import PoisonRequestRegister
@@ -45,6 +48,7 @@
 from daisylift_node.version.replica import Replica
 
 GOSSIP_PERIOD_SECONDS = 0.25
+LIMITS_PERIOD_SECONDS = 0.5
 FETCH_DELAY_SECONDS = 0.3  # this VM's own watch has usually caught up by then
 FETCH_TIMEOUT_SECONDS = 1.0
 COPY_PATH = '/copies/{kind}'
@@ -123,6 +127,8 @@
         for notice in gossip.notices:
             if self.poison_requests.apply_notice(notice.digest, notice.break_id):
                 self._poison_notices.push(notice)
+        for limit in gossip.limits:
+            self._view.apply_limit_notice(limit, now)
         url = f'http://{address[0]}:{address[1]}'
         replicas = self._view.replicas_by_kind.values()
         for replica, revision in zip(replicas, gossip.revisions, strict=False):
@@ -134,15 +140,30 @@
             return
         now = self._clock()
         self._update_members()
-        members = self._view.members_by_name.values()
         data = encode(
             self.liveness.heartbeats_to_send(now, self._rng, self._reported_names()),
             [
                 each.last_change_revision
                 for each in self._view.replicas_by_kind.values()
             ],
-            self._poison_notices.take(MAX_NOTICES_PER_DATAGRAM),
+            self._poison_notices.take(
+                MAX_NOTICES_BESIDE_LIMITS
+                if self._view.limit_notices
+                else MAX_NOTICES_PER_DATAGRAM
+            ),
         )
+        self._send_to_peers(data)
+
+    async def send_limits(self) -> None:
+        """Send the request rate limits that servers have named to some peers."""
+        notices = self._view.limit_notices.take(MAX_LIMITS_PER_DATAGRAM, self._clock())
+        if notices:
+            self._send_to_peers(encode_limits(notices))
+
+    def _send_to_peers(self, data: bytes) -> None:
+        if self._transport is None:
+            return
+        members = self._view.members_by_name.values()
         for peer in gossip_targets(self._member, members, self._rng):
             self._transport.sendto(data, (peer.peer_host, peer.peer_port))
 
--- a/packages/daisylift-node/src/daisylift_node/request/learning.py
+++ b/packages/daisylift-node/src/daisylift_node/request/learning.py
@@ -4,12 +4,10 @@
 
 from daisylift.decisions.placement import Placement
 from daisylift.decisions.work_estimates import RouteWorkEstimator
-from daisylift.models.registered_server import RegisteredServer
 from daisylift_node.connection.server_connection import ServerResponse
 from daisylift_node.request.dialect import ResponseMetadata
 
 SERVER_ERROR = 500
-OWN_RESPONSE = 'response'  # source of a limit
 
 
 def learn_from_response(
@@ -48,43 +46,21 @@
 
 
 def learn_limit(
-    placement: Placement,
-    metadata: ResponseMetadata,
-    sent_at: float,
-    now: float,
-) -> None:
-    """Update the request rate limit that the server names in its responses.
+    placement: Placement, metadata: ResponseMetadata, sent_at: float, now: float
+) -> bool:
+    """Update the server's request rate limit; return whether it has changed.
 
     Only a stamped response without a limit withdraws it: an intermediate failure may
     lack the server's headers.
     """
-    server, limit = placement.server, placement.stats.limit
     if metadata.is_other_server:
-        return
+        return False
     if metadata.has_unreadable_limit:
-        logger.bind(server=server.id).warning(
+        logger.bind(server=placement.server.id).warning(
             'cannot decode the request rate limit of a server, ignored'
         )
-        return
+        return False
     per_second = metadata.limit_per_second
     if per_second is None and not metadata.is_stamped:
-        return
-    previous = limit.per_second
-    if limit.record_response(per_second, sent_at, now):
-        log_limit(server, previous, per_second, OWN_RESPONSE)
-
-
-def log_limit(
-    server: RegisteredServer,
-    previous: float | None,
-    per_second: float | None,
-    source: str,
-) -> None:
-    """Log a changed limit, in requests per second from all nodes together."""
-    logger.bind(
-        server=server.id,
-        service=server.service,
-        previous=previous,
-        per_second=per_second,
-        source=source,
-    ).info('request rate limit of the server changed')
+        return False
+    return placement.stats.limit.record_response(per_second, sent_at, now)
--- a/packages/daisylift-node/src/daisylift_node/request/outcome.py
+++ b/packages/daisylift-node/src/daisylift_node/request/outcome.py
@@ -14,6 +14,7 @@
     BODY_TOO_LARGE = 'the body is larger than allowed'
     MEMORY_FULL = 'too many long bodies are held'
     OVERLOADED = 'no slot is free in time'
+    RATE_LIMITED = 'the servers accept no more requests per second'
     WAITED_IN_VAIN = 'no slot became free in time'
     NO_SERVER = 'no backend server may serve the route'
     UNREACHABLE = 'no backend server could be reached'
--- a/packages/daisylift-node/src/daisylift_node/request/steering.py
+++ b/packages/daisylift-node/src/daisylift_node/request/steering.py
@@ -45,6 +45,7 @@
 
 MIN_REMAINING_SECONDS = 0.02  # with less time remaining, a request is not sent
 MAX_UNREACHABLE_SERVERS = 4  # unreachable servers per request before it is refused
+RESPONSE_SOURCE = 'response'
 ABANDONED_TIMEOUT_SECONDS = 10.0  # then an abandoned request's connection is closed
 
 
@@ -139,6 +140,7 @@
             if can_serve_locally:
                 self._shift_limiter.record_sent(placement.is_other_region, now)
             placement.stats.record_start(call.object_key)
+            placer.record_send(placement.server.id, now)
             if placement.stats.is_cold(now):
                 self._cold_start_limiter.record_send(placement.server.id, now)
         return placement
@@ -187,14 +189,21 @@
             work_seconds=self._work(call).warm_seconds,
             wake=wake,
         )
-        if not queue.can_wait(waiter, now):
-            return self._refuse(call, Reason.OVERLOADED, queue)
+        home_regions = call.route.home_regions or None
+        max_per_second = self._view.placer(call.service).limited_per_second(
+            home_regions, now
+        )
+        if not queue.can_wait(waiter, now, max_per_second):
+            reason = Reason.OVERLOADED
+            if max_per_second is not None:
+                reason = Reason.RATE_LIMITED
+            return self._refuse(call, reason, queue, max_per_second)
         queue.add(waiter)
         try:
             async with asyncio.timeout(max(0.0, waiter.latest_start_at - now)):
                 return await future
         except TimeoutError:
-            return self._refuse(call, Reason.WAITED_IN_VAIN, queue)
+            return self._refuse(call, Reason.WAITED_IN_VAIN, queue, max_per_second)
         except asyncio.CancelledError:
             if future.done() and not future.cancelled():
                 self._release(call.service, future.result())
@@ -203,8 +212,14 @@
             queue.remove(waiter)
             call.waited_seconds += self._clock() - now
 
-    def _refuse(self, call: SteeredCall, reason: Reason, queue: WaitQueue) -> Outcome:
-        wait = queue.expected_wait(self._clock(), call.route.priority)
+    def _refuse(
+        self,
+        call: SteeredCall,
+        reason: Reason,
+        queue: WaitQueue,
+        max_per_second: float | None = None,
+    ) -> Outcome:
+        wait = queue.expected_wait(self._clock(), call.route.priority, max_per_second)
         outcome = _refused_or_failed(call, reason, wait)
         if isinstance(outcome, Failed):
             return outcome
@@ -258,7 +273,11 @@
             has_object,
             now,
         )
-        learn_limit(placement, metadata, started, now)
+        previous_limit = stats.limit.per_second
+        if learn_limit(placement, metadata, started, now):
+            self._view.record_limit_change(
+                server, stats.limit, previous_limit, RESPONSE_SOURCE
+            )
         return SendResult(response, metadata, was_sent=True)
 
     async def _exchange(
--- a/packages/daisylift-node/src/daisylift_node/version/fleet_view.py
+++ b/packages/daisylift-node/src/daisylift_node/version/fleet_view.py
@@ -6,6 +6,8 @@
 from loguru import logger
 
 from daisylift.decisions.cold_start import ColdStartLimiter
+from daisylift.decisions.limit_notices import LimitNotice, LimitNotices
+from daisylift.decisions.limit_shares import LimitShares
 from daisylift.decisions.placement import ServicePlacer
 from daisylift.decisions.ranking import Candidate, Location
 from daisylift.decisions.region_stats import (
@@ -14,6 +16,7 @@
     RegionStats,
 )
 from daisylift.decisions.route_table import RouteTable
+from daisylift.decisions.server_limits import ServerLimit
 from daisylift.decisions.server_stats import ServerStats
 from daisylift.models.desired_state import DesiredState
 from daisylift.models.registered_server import EntryMember, RegisteredServer
@@ -36,6 +39,7 @@
 ASSUMED_FLEET_SIZE = 16  # used until the members have been read
 ASSUMED_FLEET_NAMES = ('',) * ASSUMED_FLEET_SIZE
 DEFAULT_COLD_PER_SECOND = 10.0
+PEER_SOURCE = 'peer'
 
 Clock = Callable[[], float]
 
@@ -57,6 +61,7 @@
         codec: DocumentCodec,
         store: DocumentStore,
         cold_start_limiter: ColdStartLimiter,
+        limit_shares: LimitShares,
         clock: Clock,
         watch_seconds: float = DEFAULT_WATCH_SECONDS,
     ) -> None:
@@ -69,9 +74,12 @@
         self._codec = codec
         self._store = store
         self._cold_start_limiter = cold_start_limiter
+        self.limit_shares = limit_shares
+        self.limit_notices = LimitNotices()
         self._clock = clock
         self.watches_store: Callable[[], bool] = lambda: True
         self._entries_by_id: dict[str, _ServerEntry] = {}
+        self._entries_by_incarnation: dict[int, _ServerEntry] = {}
         self._placers_by_service: dict[str, ServicePlacer] = {}
         self._region_stats: dict[tuple[str, str], RegionStats] = {}
         self._on_change: list[Callable[[], None]] = []
@@ -157,6 +165,41 @@
             )
         }
 
+    def record_limit_change(
+        self,
+        server: RegisteredServer,
+        limit: ServerLimit,
+        previous: float | None,
+        source: str,
+    ) -> None:
+        """Log a changed limit of a server and report it to peers.
+
+        ``previous`` is the limit before, in requests per second. The limit of a server
+        incarnation that has been removed meanwhile is ignored.
+        """
+        entry = self._entries_by_incarnation.get(server.incarnation_id)
+        if entry is None or entry.stats.limit is not limit:
+            return
+        logger.bind(
+            server=server.id,
+            service=server.service,
+            previous=previous,
+            per_second=limit.per_second,
+            source=source,
+        ).info('request rate limit of the server changed')
+        self.limit_notices.put(server.incarnation_id, limit)
+        self._notify_changed()
+
+    def apply_limit_notice(self, notice: LimitNotice, now: float) -> None:
+        """Apply a limit that a peer heard of, if it is newer than the local one."""
+        entry = self._entries_by_incarnation.get(notice.incarnation_id)
+        if entry is None:
+            return
+        limit = entry.stats.limit
+        previous = limit.per_second
+        if limit.record_notice(notice.per_second, notice.age_seconds, now):
+            self.record_limit_change(entry.server, limit, previous, PEER_SOURCE)
+
     async def expire_lapsed(self) -> None:
         """Remove servers whose registration lapsed and was not renewed in time."""
         now = self._clock()
@@ -217,6 +260,7 @@
                 for entry in self._entries_by_id.values()
                 if entry.server.service == service and self._is_usable(entry.server)
             ),
+            self.limit_shares,
         )
 
     def _is_usable(self, server: RegisteredServer) -> bool:
@@ -305,6 +349,7 @@
                 self._remove(entry)
             entry = _ServerEntry(server, ServerStats(slots=server.slots))
             self._entries_by_id[server.id] = entry
+            self._entries_by_incarnation[server.incarnation_id] = entry
         elif entry.server.leaving and not server.leaving:
             logger.bind(server=server.id).warning('server is no longer leaving')
         _log_registration(entry, server)
@@ -325,6 +370,10 @@
 
     def _remove(self, entry: _ServerEntry) -> None:
         self._entries_by_id.pop(entry.server.id, None)
+        incarnation_id = entry.server.incarnation_id
+        self._entries_by_incarnation.pop(incarnation_id, None)
+        self.limit_notices.discard(incarnation_id)
+        self.limit_shares.discard(entry.server.id)
         placer = self._placers_by_service.get(entry.server.service)
         if placer is not None:
             placer.remove(entry.server.id)
@@ -356,6 +405,9 @@
                 continue
             self.members_by_name[name] = member
         self.member_names = tuple(sorted(self.members_by_name))
+        self.limit_shares.set_nodes(
+            {each.name: each.region for each in self.members_by_name.values()}
+        )
 
 
 def _incarnation(server: RegisteredServer) -> tuple[int, str, int, str]:
--- a/packages/daisylift/src/daisylift/decisions/placement.py
+++ b/packages/daisylift/src/daisylift/decisions/placement.py
@@ -19,6 +19,7 @@
 from dataclasses import dataclass
 from itertools import islice
 
+from daisylift.decisions.limit_shares import LimitShare, LimitShares
 from daisylift.decisions.ranking import Candidate, Location, Proximity, Rankings
 from daisylift.decisions.region_shift import PlacementScope
 from daisylift.decisions.region_stats import RegionStats
@@ -68,9 +69,11 @@
         self,
         location: Location,
         candidates: Iterable[Candidate],
+        limit_shares: LimitShares | None = None,
         rng: random.Random | None = None,
     ) -> None:
         self._location = location
+        self._limit_shares = limit_shares or LimitShares('')
         self._rng = rng or random.Random()
         self.candidates_by_id: dict[str, Candidate] = {}
         self.cold_by_id: dict[str, Candidate] = {}
@@ -116,7 +119,8 @@
         """Return the server with the lowest cost that has capacity, or None.
 
         ``allowed`` names the regions that may serve; None means any. Servers that
-        ``usable`` maps to False are skipped, and so are servers outside ``scope``.
+        ``usable`` maps to False are skipped, and so are servers outside ``scope`` and
+        those whose request rate limit this node has used up.
         """
 
         def can_use(candidate: Candidate) -> bool:
@@ -128,13 +132,53 @@
                 return False
             if not usable.get(candidate.server.id, True):
                 return False
-            return not candidate.stats.is_suspended(now)
+            if candidate.stats.is_suspended(now):
+                return False
+            return self._is_within_limit(candidate, now)
 
         if object_key is None:
             return self._lowest_cost(self._sample(can_use), None, estimate, now)
         listed = self._listed_candidates(object_key, estimate, can_use)
         return self._lowest_cost(listed, object_key, estimate, now)
 
+    def record_send(self, server_id: str, now: float) -> None:
+        """Count a request sent to the server against its request rate limit."""
+        candidate = self.candidates_by_id.get(server_id)
+        if candidate is not None and candidate.stats.limit.per_second is not None:
+            share = self._limit_share(candidate, candidate.stats.limit.per_second)
+            candidate.stats.limit.record_send(share, now)
+
+    def limited_per_second(
+        self, allowed: Collection[str] | None, now: float
+    ) -> float | None:
+        """Return the rate that this node may send if all servers have limits.
+
+        ``allowed`` names the regions that may serve; None means any. Return None if a
+        server has no limit, or if there is no server.
+        """
+        rate: float | None = None
+        for candidate in self.candidates_by_id.values():
+            is_allowed = allowed is None or candidate.region in allowed
+            if not is_allowed or candidate.stats.is_suspended(now):
+                continue
+            per_second = candidate.stats.limit.per_second
+            if per_second is None:
+                return None
+            rate = (rate or 0.0) + self._limit_share(candidate, per_second).per_second
+        return rate
+
+    def _is_within_limit(self, candidate: Candidate, now: float) -> bool:
+        per_second = candidate.stats.limit.per_second
+        if per_second is None:
+            return True
+        share = self._limit_share(candidate, per_second)
+        return candidate.stats.limit.has_capacity(share, now)
+
+    def _limit_share(self, candidate: Candidate, per_second: float) -> LimitShare:
+        return self._limit_shares.share(
+            candidate.server.id, candidate.region, per_second
+        )
+
     def can_serve_locally(self, allowed: Collection[str] | None) -> bool:
         """Return whether the local region may serve and has servers, full or not."""
         region = self._location.region
--- a/packages/daisylift/src/daisylift/decisions/wait_queue.py
+++ b/packages/daisylift/src/daisylift/decisions/wait_queue.py
@@ -16,6 +16,7 @@
 MAX_RETRY_AFTER_SECONDS = 2.0
 MAX_WAKE_ATTEMPTS = 24  # waiters tried per free slot; bounds CPU time under load
 RATE_WINDOW_SECONDS = 1.0
+MIN_RATE_PER_SECOND = 0.1  # keeps the expected wait finite
 MAX_LATE_SHARE = 0.5  # share of the time between target and deadline that may be used
 
 
@@ -58,18 +59,34 @@
         if self._departures[0] < now - 2.0 * RATE_WINDOW_SECONDS:
             self._discard_old_departures(now)
 
-    def expected_wait(self, now: float, priority: int) -> float:
-        """Return the expected seconds until one more waiter would get a slot."""
+    def expected_wait(
+        self, now: float, priority: int, max_per_second: float | None = None
+    ) -> float:
+        """Return the expected seconds until one more waiter would get a slot.
+
+        ``max_per_second`` is the rate at which the servers accept requests, None if
+        only their slots bound it.
+        """
         self._discard_old_departures(now)
         ahead = sum(each.priority <= priority for each in self.waiters) + 1
         per_second = max(len(self._departures) / RATE_WINDOW_SECONDS, 1.0)
+        if max_per_second is not None:
+            # Without waiters, departures show the demand and not what servers accept.
+            accepted = min(per_second, max_per_second) if ahead > 1 else max_per_second
+            per_second = max(accepted, MIN_RATE_PER_SECOND)
         return ahead / per_second
 
-    def can_wait(self, waiter: Waiter, now: float) -> bool:
-        """Return whether the queue has space and the expected wait is short enough."""
+    def can_wait(
+        self, waiter: Waiter, now: float, max_per_second: float | None = None
+    ) -> bool:
+        """Return whether the queue has space and the expected wait is short enough.
+
+        ``max_per_second`` is as in ``expected_wait``.
+        """
         if len(self.waiters) >= MAX_WAITING:
             return False
-        return now + self.expected_wait(now, waiter.priority) <= waiter.latest_start_at
+        wait = self.expected_wait(now, waiter.priority, max_per_second)
+        return now + wait <= waiter.latest_start_at
 
     def add(self, waiter: Waiter) -> None:
         """Add the waiter to the queue."""
--- a/tests/test_gossip_codec.py
+++ b/tests/test_gossip_codec.py
@@ -4,18 +4,24 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from daisylift.decisions.limit_notices import LimitNotice
 from daisylift.decisions.liveness import MAX_HEARTBEATS, Heartbeat
 from daisylift.decisions.poison_notices import BreakNotice
 from daisylift_node.connection.gossip_codec import (
+    MAX_LIMITS_PER_DATAGRAM,
+    MAX_NOTICES_BESIDE_LIMITS,
     MAX_NOTICES_PER_DATAGRAM,
     GossipError,
     decode,
     encode,
+    encode_limits,
     name_hash,
 )
 
 TARGET_BYTES_PER_SECOND = 6000
 DATAGRAMS_PER_SECOND = 12  # to three peers every 250 ms
+LIMIT_DATAGRAMS_PER_SECOND = 6  # to three peers every 500 ms
+UDP_HEADER_BYTES = 28
 
 
 def a_heartbeat(number: int) -> Heartbeat:
@@ -68,3 +74,45 @@
     assert list(gossip.notices) == notices
     assert gossip.heartbeats == heartbeats
     assert DATAGRAMS_PER_SECOND * (len(data) + 28) < TARGET_BYTES_PER_SECOND
+
+
+def test_decoding_returns_the_encoded_limits() -> None:
+    limits = (LimitNotice(2**63 + 1, 7.3, 0.25), LimitNotice(5, None, 19.0))
+    gossip = decode(encode_limits(limits), {})
+    assert gossip.limits == limits
+    assert gossip.heartbeats == ()
+
+
+@pytest.mark.parametrize('cut', [1, 5])
+def test_limits_that_are_cut_off_are_refused(cut: int) -> None:
+    data = encode_limits([LimitNotice(5, 7.3, 0.25)])
+    with pytest.raises(GossipError):
+        decode(data[:-cut], {})
+    with pytest.raises(GossipError):
+        decode(data + b'x', {})
+
+
+@pytest.mark.parametrize('per_second', [float('nan'), float('inf')])
+def test_a_limit_that_is_no_rate_is_refused(per_second: float) -> None:
+    with pytest.raises(GossipError):
+        decode(encode_limits([LimitNotice(5, per_second, 0.0)]), {})
+
+
+@given(st.binary(max_size=200))
+def test_any_bytes_of_limits_are_read_or_refused(data: bytes) -> None:
+    try:
+        decode(b'\x03' + data, {})
+    except GossipError:
+        return
+
+
+def test_gossip_with_limits_and_notices_fits_the_targets_bytes_a_second() -> None:
+    gossip = encode(
+        [a_heartbeat(number) for number in range(MAX_HEARTBEATS + 1)],
+        [1] * 4,
+        [BreakNotice(bytes(16), 1)] * MAX_NOTICES_BESIDE_LIMITS,
+    )
+    limits = encode_limits([LimitNotice(1, 7.3, 0.0)] * MAX_LIMITS_PER_DATAGRAM)
+    per_second = DATAGRAMS_PER_SECOND * (len(gossip) + UDP_HEADER_BYTES)
+    per_second += LIMIT_DATAGRAMS_PER_SECOND * (len(limits) + UDP_HEADER_BYTES)
+    assert per_second < TARGET_BYTES_PER_SECOND
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -12,6 +12,7 @@
 import pytest
 
 from daisylift.decisions.cold_start import ColdStartLimiter, ColdStartLimits
+from daisylift.decisions.limit_shares import LimitShares
 from daisylift.decisions.ranking import Location
 from daisylift_node.platform import PlatformDocuments
 from daisylift_node.process.entry_application import watch_seconds
@@ -363,6 +364,7 @@
         PlatformDocuments(),
         store,
         cold_start_limiter,
+        LimitShares('entry-1'),
         clock,
         watch_seconds(3),
     )
--- a/tests/test_wait_queue.py
+++ b/tests/test_wait_queue.py
@@ -127,3 +127,20 @@
         else:
             refused += 1
     assert refused <= 0.1 * (served + refused + len(waiting))
+
+
+def test_servers_that_accept_few_requests_bound_the_wait() -> None:
+    """The departures still show the rate from before the limit."""
+    queue = WaitQueue()
+    serve(queue, 40, now=0.0)
+    assert queue.can_wait(a_waiter(), 0.0)
+    assert not queue.can_wait(a_waiter(), 0.0, max_per_second=1.0)
+    assert not queue.can_wait(a_waiter(), 0.0, max_per_second=0.0)
+
+
+def test_a_calm_queue_expects_the_accepted_rate() -> None:
+    queue = WaitQueue()
+    assert queue.expected_wait(0.0, 1, max_per_second=10.0) == pytest.approx(0.1)
+    queue.add(a_waiter())
+    serve(queue, 4, now=0.0)
+    assert queue.expected_wait(0.0, 1, max_per_second=10.0) == pytest.approx(0.5)
