Let servers of the soak name, change and withdraw limits, and add a VM

Servers now name a limit of 0 to 8 a second for 5 to 12 s, raise or lower it halfway, and withdraw it; a VM joins in the first half of a run. The faults of a seed stay as they were: the limits come from a sequence of their own.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -67,7 +67,7 @@
         is_aborted = self.rng.random() < ABORTED_SHARE
         seconds = ABORT_AFTER_SECONDS if is_aborted else DEADLINE_MS / 1000.0 + 1.0
         sent_at = self.fleet.now()
-        status, stamp, body = None, '', b''
+        status, stamp, body, limited_server = None, '', b'', ''
         try:
             async with session.request(
                 'POST' if prefix == 'o' else 'GET',
@@ -85,6 +85,8 @@
                 body = await response.read()
                 status = response.status
                 stamp = response.headers.get('Response-Stamp', '')
+                if 'Server-Limit' in response.headers:
+                    limited_server = response.headers['Instance-Id']
         except (aiohttp.ClientError, TimeoutError):
             status = None  # no complete response; the ledger decides if that is allowed
         self.fleet.ledger.outcomes.append(
@@ -99,6 +101,7 @@
                 stamp=stamp,
                 body=body,
                 is_aborted=is_aborted,
+                limited_server=limited_server,
             )
         )
         return status is not None
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,7 +6,7 @@
 from typing import TypeVar
 
 from soak.fleet import DOMAINS, Fleet
-from soak.plan import Fault
+from soak.plan import ADD_VM_KIND, Fault
 from soak.proxy import FaultyLink
 from tests.fakes.platform_server import PlatformServer
 
@@ -14,6 +14,8 @@
 SLOW_LINK_SECONDS = 0.2
 REFUSED_STATUS = 429
 LOST_RESPONSES = 3
+MAX_LIMIT_PER_SECOND = 8.0
+LIMIT_FACTORS = {'keep': 1.0, 'raise': 2.0, 'lower': 0.4}
 PartT = TypeVar('PartT')
 STORE_FAULTS = {
     'store_down': {'down': True},
@@ -34,6 +36,9 @@
 
 async def inject(fleet: Fleet, fault: Fault) -> None:
     """Inject one fault, and remove it after its duration."""
+    if fault.kind == ADD_VM_KIND:
+        await fleet.add_vm()
+        return
     if fault.kind in STORE_FAULTS:
         await _inject_store_fault(fleet, fault)
         return
@@ -45,6 +50,9 @@
             fleet, vm.store_link, vm.name, link_fault, fault.duration_seconds
         )
         return
+    if family == 'limit':
+        await _name_limit(fleet, fault, effect)
+        return
     if family == 'server':
         await _inject_server_fault(fleet, fault, effect)
         return
@@ -100,6 +108,21 @@
     fleet.record_disturbance(component, start)
 
 
+async def _name_limit(fleet: Fleet, fault: Fault, change: str) -> None:
+    """Let a server name a limit, change it halfway, and withdraw it at the end."""
+    server = _pick(_serving(fleet), fault.target_fraction)
+    if server.limit_per_second is not None:
+        return
+    born = server.born
+    per_second = MAX_LIMIT_PER_SECOND * fault.target_fraction
+    for value in (per_second, LIMIT_FACTORS[change] * per_second):
+        fleet.name_limit(server, value)
+        await asyncio.sleep(0.5 * fault.duration_seconds)
+        if not server.is_up or server.born != born:
+            return
+    fleet.name_limit(server, None)
+
+
 async def _inject_server_fault(fleet: Fleet, fault: Fault, effect: str) -> None:
     server = _pick(_serving(fleet), fault.target_fraction)
     if effect.startswith('link_'):
@@ -111,7 +134,7 @@
         return
     start = fleet.now()
     if effect == 'crash':
-        await server.crash()
+        await fleet.crash_server(server)
         await asyncio.sleep(fault.duration_seconds)
         server.born += 1
         await server.start()
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -11,7 +11,13 @@
 
 import aiohttp
 
-from soak.ledger import ConfirmedChange, DesiredStateVersion, Disturbance, Ledger
+from soak.ledger import (
+    ConfirmedChange,
+    DesiredStateVersion,
+    Disturbance,
+    Ledger,
+    NamedLimit,
+)
 from soak.proxy import FaultyLink
 from tests.entry_harness import make_desired_state, make_rule
 from tests.fakes.loopback import (
@@ -119,6 +125,11 @@
             await link.stop()
         await self.store.stop()
 
+    def record_arrivals(self) -> None:
+        """Record which requests reached each server, for the checks."""
+        for server in self.servers_by_id.values():
+            self.ledger.arrivals_by_server[server.id] = server.arrivals
+
     def read_logs(self) -> None:
         """Record the errors that the VMs logged, and lines that are not JSON."""
         for vm in self.vms:
@@ -201,8 +212,29 @@
         self.ledger.draining.append(ConfirmedChange(server.id, self.now()))
         await asyncio.sleep(DRAINING_SECONDS)
         self.store.remove('servers', server.id)
+        await self.crash_server(server)
+
+    async def crash_server(self, server: PlatformServer) -> None:
+        """Stop a server immediately; its limit ends with it."""
+        if server.limit_per_second is not None:
+            self.name_limit(server, None)
         await server.crash()
 
+    def name_limit(self, server: PlatformServer, per_second: float | None) -> None:
+        """Let a server name a request rate limit, or withdraw it with None."""
+        server.limit_per_second = per_second
+        self.ledger.limits.append(NamedLimit(server.id, self.now(), per_second))
+
+    async def add_vm(self) -> None:
+        """Start one more VM."""
+        vm = await self._make_vm(len(self.vms))
+        self.vms.append(vm)
+        start = self.now()
+        await self._launch(vm)
+        await self.wait_until_ready(vm)
+        vm.is_changing = False
+        self.record_disturbance(vm.name, start)
+
     async def stop_vm(self, vm: EntryVm) -> None:
         """Stop a VM by SIGTERM and restart it; kill it when its grace time is over."""
         if vm.is_changing or vm.process is None:
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -8,13 +8,22 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from tests.fakes.platform_server import ServerRun, response_body, response_stamp
+from tests.fakes.platform_server import (
+    ServerArrival,
+    ServerRun,
+    response_body,
+    response_stamp,
+)
 
 STABILITY_WINDOW_SECONDS = 3.0  # limits hold for VMs undisturbed this long
 DRAIN_LIMIT_SECONDS = 2.5  # from confirmation by the store to the last new request
 EVACUATION_LIMIT_SECONDS = 5.0  # the same, for an evacuated failure domain
 CONFIG_LIMIT_SECONDS = 2.5  # the same, until a new desired state is in force
 ROLLBACK_TOLERANCE_SECONDS = 0.25  # an older version may seem in use this long
+LIMIT_WINDOW_SECONDS = 4.0  # window in which requests to a limited server count
+LIMIT_MULTIPLIER = 1.5  # of the limit, that such a window may hold
+LIMIT_SLACK_REQUESTS = 5
+LIMIT_TOLD_SECONDS = 0.5  # a VM is bound this long after it passed on the limit
 SERVED_SHARE = 0.9  # minimum share of the requests served in the final calm
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 NO_ROUTE_STATUS = 404
@@ -33,7 +42,8 @@
     """The outcome of a caller's request.
 
     ``status`` is None if no complete response was received. ``is_aborted`` is set if
-    the caller aborted the request early.
+    the caller aborted the request early. ``limited_server`` is the server that
+    answered, if it named a request rate limit.
     """
 
     request_id: str
@@ -46,6 +56,7 @@
     stamp: str = ''
     body: bytes = b''
     is_aborted: bool = False
+    limited_server: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +78,36 @@
     until: float = float('inf')
 
 
+@dataclass(frozen=True, slots=True)
+class NamedLimit:
+    """A server names a limit in requests per second from now on, or withdraws it."""
+
+    server_id: str
+    at: float
+    per_second: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class LimitSpan:
+    """A time in which a server named limits; ``changes`` are their times and values."""
+
+    server_id: str
+    changes: tuple[tuple[float, float], ...]
+    end: float
+
+    def highest(self, start: float, end: float) -> float:
+        """Return the highest limit that was in force between two times."""
+        times = [at for at, _ in self.changes[1:]] + [self.end]
+        return max(
+            (
+                per_second
+                for (at, per_second), until in zip(self.changes, times, strict=True)
+                if at <= end and until >= start
+            ),
+            default=0.0,
+        )
+
+
 @dataclass(frozen=True, slots=True)
 class DesiredStateVersion:
     """One version of the desired state: the service of each path prefix."""
@@ -92,6 +133,8 @@
     draining: list[ConfirmedChange] = field(default_factory=list)
     evacuations: list[ConfirmedChange] = field(default_factory=list)
     versions: list[DesiredStateVersion] = field(default_factory=list)
+    limits: list[NamedLimit] = field(default_factory=list)
+    arrivals_by_server: dict[str, list[ServerArrival]] = field(default_factory=dict)
     unexpected_exits: list[str] = field(default_factory=list)
     errors: list[str] = field(default_factory=list)
     calm_since: float = float('inf')
@@ -126,6 +169,7 @@
         found += [Finding('no unexpected exit', text) for text in self.unexpected_exits]
         found += [Finding('no error', text) for text in self.errors]
         found += self._check_rollbacks()
+        found += self._check_limits()
         found += self._check_recovery()
         return found
 
@@ -251,6 +295,74 @@
         ]
         return min(numbers, default=0)
 
+    def _check_limits(self) -> Iterator[Finding]:
+        """Find servers that got more than their limit from VMs that knew of it."""
+        told_at = self._times_told()
+        vm_by_request = {each.request_id: each.vm for each in self.outcomes}
+        for span in self._limit_spans():
+            start = span.changes[0][0]
+            counted: list[float] = []
+            for arrival in self.arrivals_by_server.get(span.server_id, ()):
+                vm = vm_by_request.get(arrival.request_id)
+                if vm is None or not start <= arrival.at < span.end:
+                    continue
+                if not self._was_told(
+                    vm, arrival.at, start, told_at[vm, span.server_id]
+                ):
+                    continue
+                counted.append(arrival.at)
+                if (text := self._limit_violation(span, counted)) is not None:
+                    yield Finding('limit of a server', text)
+                    break
+
+    def _limit_violation(self, span: LimitSpan, counted: list[float]) -> str | None:
+        at = counted[-1]
+        if at < span.changes[0][0] + STABILITY_WINDOW_SECONDS:
+            return None
+        since = at - LIMIT_WINDOW_SECONDS
+        if not self.was_undisturbed(
+            since - STABILITY_WINDOW_SECONDS, at, span.server_id
+        ):
+            return None
+        count = sum(each > since for each in counted)
+        limit = span.highest(since - LIMIT_TOLD_SECONDS, at)
+        bound = LIMIT_MULTIPLIER * limit * LIMIT_WINDOW_SECONDS + LIMIT_SLACK_REQUESTS
+        if count <= bound:
+            return None
+        return f'{span.server_id}: {count} requests in 4 s, allowed {bound:.0f}'
+
+    def _was_told(
+        self, vm: str, at: float, since: float, told_times: list[float]
+    ) -> bool:
+        """Return whether the VM knew of the limit named at ``since``, undisturbed."""
+        latest = max(
+            (each for each in told_times if each <= at - LIMIT_TOLD_SECONDS),
+            default=since,
+        )
+        return latest > since and self.was_undisturbed(latest, at, vm)
+
+    def _times_told(self) -> defaultdict[tuple[str, str], list[float]]:
+        times: defaultdict[tuple[str, str], list[float]] = defaultdict(list)
+        for outcome in self.outcomes:
+            if outcome.limited_server:
+                key = outcome.vm, outcome.limited_server
+                times[key].append(outcome.ended_at)
+        return times
+
+    def _limit_spans(self) -> Iterator[LimitSpan]:
+        changes_by_server: defaultdict[str, list[tuple[float, float]]]
+        changes_by_server = defaultdict(list)
+        for limit in self.limits:
+            changes = changes_by_server[limit.server_id]
+            if limit.per_second is not None:
+                changes.append((limit.at, limit.per_second))
+            elif changes:
+                yield LimitSpan(limit.server_id, tuple(changes), limit.at)
+                changes.clear()
+        for server_id, changes in changes_by_server.items():
+            if changes:
+                yield LimitSpan(server_id, tuple(changes), float('inf'))
+
     def _check_recovery(self) -> Iterator[Finding]:
         late = [each for each in self.outcomes if each.sent_at >= self.calm_since]
         served = sum(each.status == 200 for each in late)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -24,12 +24,17 @@
     'server_link_reset',
     'server_link_slow',
 )
+LIMIT_KINDS = ('limit_keep', 'limit_raise', 'limit_lower')
+ADD_VM_KIND = 'add_vm'
 MIN_GAP_SECONDS = 0.1
 MAX_GAP_SECONDS = 1.2
 MIN_DURATION_SECONDS = 0.3
 MAX_DURATION_SECONDS = 4.0
 FINAL_CALM_SECONDS = 4.0  # without faults at the end; 1 s over the stability window
 PLANNED_SHARE = 0.5  # share of the run, from its start, with planned events only
+MAX_LIMIT_GAP_SECONDS = 3.0
+MIN_LIMIT_SECONDS = 5.0  # the bound is checked from 3 s after a limit is named
+MAX_LIMIT_SECONDS = 12.0
 SERIES_SHARE = 0.2  # share of the faults injected three times in quick succession
 SERIES_GAP_SECONDS = 0.3
 
@@ -65,3 +70,19 @@
             faults.append(Fault(kind, starts_at, duration, rng.random()))
         at += rng.uniform(MIN_GAP_SECONDS, MAX_GAP_SECONDS)
     return sorted(faults, key=lambda fault: fault.at)
+
+
+def make_limit_plan(seed: int, seconds: float) -> list[Fault]:
+    """Return the limits that servers name in a run, and one VM that is added.
+
+    They are drawn apart from the other faults, which so stay the same for a seed.
+    """
+    rng = random.Random(f'limits/{seed}')
+    end = seconds - FINAL_CALM_SECONDS
+    faults = [Fault(ADD_VM_KIND, rng.uniform(0.0, 0.5 * end), 0.0, rng.random())]
+    at = rng.uniform(0.0, MAX_LIMIT_GAP_SECONDS)
+    while at < end - MIN_LIMIT_SECONDS:
+        duration = min(rng.uniform(MIN_LIMIT_SECONDS, MAX_LIMIT_SECONDS), end - at)
+        faults.append(Fault(rng.choice(LIMIT_KINDS), at, duration, rng.random()))
+        at += rng.uniform(0.0, MAX_LIMIT_GAP_SECONDS)
+    return sorted(faults, key=lambda fault: fault.at)
--- a/tests/fakes/platform_server.py
+++ b/tests/fakes/platform_server.py
@@ -32,6 +32,14 @@
     at: float
 
 
+@dataclass(frozen=True, slots=True)
+class ServerArrival:
+    """A request that reached a backend server, whether it ran or not."""
+
+    request_id: str
+    at: float
+
+
 def response_body(server_id: str, request_id: str, path: str, size: int) -> bytes:
     """Return the response body of the server to the request, ``size`` bytes long."""
     line = f'{server_id} {request_id} {path}\n'.encode()
@@ -58,7 +66,7 @@
     lose_answers: bool = False
     spoil_answers: bool = False
     limit_per_second: float | None = None
-    arrivals: list[float] = field(default_factory=list)
+    arrivals: list[ServerArrival] = field(default_factory=list)
     port: int = 0
     born: int = 1
     _running: int = 0
@@ -71,6 +79,7 @@
     async def start(self) -> None:
         """Start to serve; a restart uses the same port and keeps no state."""
         self._running = self._waiting = 0
+        self.limit_per_second = None
         self._free = asyncio.Semaphore(self.slots)
         self._handler = web.Server(
             self._handle, handler_cancellation=True, access_log=None
@@ -118,7 +127,8 @@
             headers['Server-Limit'] = f'{self.limit_per_second:g}'
         if request.headers.get('Target-Instance', self.id) != self.id:
             return web.Response(status=421, headers=headers)
-        self.arrivals.append(asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        self.arrivals.append(ServerArrival(request_id, now))
         if self._waiting >= self.slots * QUEUED_PER_SLOT:
             return web.Response(status=503, headers=headers | NOT_EXECUTED)
         await request.read()
--- a/tests/test_server_limit_overrun.py
+++ b/tests/test_server_limit_overrun.py
@@ -76,7 +76,8 @@
         limited.limit_per_second = limit
         started = asyncio.get_running_loop().time()
         statuses = await send_requests(harnesses)
-    late = [at for at in limited.arrivals if at > started + STABILITY_SECONDS]
+    times = [each.at for each in limited.arrivals]
+    late = [at for at in times if at > started + STABILITY_SECONDS]
     assert most_in_window(late) <= bound(limit)
     assert len(late) >= 0.3 * limit * (LOAD_SECONDS - STABILITY_SECONDS)
     assert set(statuses) == {200}
--- a/tests/test_soak_ledger.py
+++ b/tests/test_soak_ledger.py
@@ -1,5 +1,7 @@
 """The checks of the soak find each violated guarantee, and nothing else."""
 
+from dataclasses import replace
+
 import pytest
 
 from soak.ledger import (
@@ -11,10 +13,24 @@
     DesiredStateVersion,
     Disturbance,
     Ledger,
+    NamedLimit,
     RequestOutcome,
 )
-from soak.plan import FINAL_CALM_SECONDS, PLANNED_KINDS, UNPLANNED_KINDS, make_plan
-from tests.fakes.platform_server import ServerRun, response_body, response_stamp
+from soak.plan import (
+    ADD_VM_KIND,
+    FINAL_CALM_SECONDS,
+    LIMIT_KINDS,
+    PLANNED_KINDS,
+    UNPLANNED_KINDS,
+    make_limit_plan,
+    make_plan,
+)
+from tests.fakes.platform_server import (
+    ServerArrival,
+    ServerRun,
+    response_body,
+    response_stamp,
+)
 
 OLD_VERSION = DesiredStateVersion(
     1, 0.0, {'/a/': 'catalogue', '/o/': 'till', '/m/': 'catalogue'}
@@ -175,3 +191,64 @@
             for fault in plan
         )
     assert kinds == {*PLANNED_KINDS, *UNPLANNED_KINDS}
+
+
+def a_limited_ledger(
+    per_second: float, *limits: NamedLimit, rate: float = 20.0, until: float = 10.0
+) -> Ledger:
+    """Return a ledger of a server that names its limit at 1 s and is sent requests."""
+    ledger = Ledger(versions=[OLD_VERSION])
+    ledger.limits = [NamedLimit('i-1', 1.0, per_second), *limits]
+    arrivals = []
+    for number in range(int((until - 1.0) * rate)):
+        at = 1.0 + number / rate
+        request_id = f'r{number}'
+        arrivals.append(ServerArrival(request_id, at))
+        outcome = an_outcome(
+            request_id=request_id,
+            at=at,
+            ended_at=at + 0.05,
+            stamp=response_stamp('i-1', request_id),
+            body=response_body('i-1', request_id, '/a/1', 500),
+            limited_server='i-1',
+        )
+        ledger.outcomes.append(outcome)
+        ledger.record_run(ServerRun(request_id, 'i-1', 'catalogue', 'dar-a', at))
+    ledger.arrivals_by_server['i-1'] = arrivals
+    return ledger
+
+
+def test_a_server_that_gets_more_than_its_limit_is_found() -> None:
+    assert violated_guarantees(a_limited_ledger(8.0)) == {'limit of a server'}
+    assert violated_guarantees(a_limited_ledger(20.0)) == set()
+
+
+def test_a_lowered_limit_is_checked_and_a_withdrawn_one_is_not() -> None:
+    lowered = NamedLimit('i-1', 2.0, 4.0)
+    assert 'limit of a server' in violated_guarantees(a_limited_ledger(20.0, lowered))
+    withdrawn = NamedLimit('i-1', 4.0, None)
+    assert violated_guarantees(a_limited_ledger(8.0, withdrawn)) == set()
+    raised = NamedLimit('i-1', 2.0, 20.0)
+    assert violated_guarantees(a_limited_ledger(4.0, raised)) == set()
+
+
+def test_requests_of_vms_that_restarted_or_were_not_told_do_not_count() -> None:
+    restarted = a_limited_ledger(8.0)
+    restarted.disturbances = [
+        Disturbance('entry-1', 0.6 * number, 0.6 * number) for number in range(20)
+    ]
+    assert 'limit of a server' not in violated_guarantees(restarted)
+    untold = a_limited_ledger(8.0)
+    untold.outcomes = [replace(each, limited_server='') for each in untold.outcomes]
+    assert violated_guarantees(untold) == set()
+
+
+def test_a_limit_plan_depends_on_the_seed_and_ends_before_the_final_calm() -> None:
+    kinds = set()
+    for seed in range(20):
+        plan = make_limit_plan(seed, 20.0)
+        assert plan == make_limit_plan(seed, 20.0)
+        end = 20.0 - FINAL_CALM_SECONDS
+        assert all(fault.at + fault.duration_seconds <= end + 1e-9 for fault in plan)
+        kinds |= {fault.kind for fault in plan}
+    assert kinds == {*LIMIT_KINDS, ADD_VM_KIND}
