--- a/packages/daisylift-node/src/daisylift_node/platform/headers.py
+++ b/packages/daisylift-node/src/daisylift_node/platform/headers.py
@@ -12,7 +12,7 @@
 EXPECTED_SERVER = 'Target-Instance'
 NOT_EXECUTED = 'Not-Executed'  # any value: the presence of the header counts
 RESPONSE_STAMP = 'Response-Stamp'  # a MAC of the response
-LOAD = 'Server-Load'  # "running,waiting,slots"
+LOAD = 'Server-Load'  # "running,waiting,slots"; newer servers add figures
 LIMIT = 'Server-Limit'  # requests per second from all nodes together
 MS_PER_SECOND = 1000.0
 MISDIRECTED_STATUS = 421
@@ -87,7 +87,7 @@
     if text is None:
         return None
     try:
-        running, waiting, slots = (int(part) for part in text.split(','))
+        running, waiting, slots, *_ = (int(part) for part in text.split(','))
     except ValueError:
         return None
     return LoadReport(running=running, waiting=waiting, slots=slots)
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from daisylift.decisions.server_stats import LoadReport
 from daisylift.models.desired_state import Destination, RequestKind
 from daisylift.models.registered_server import EntryMember
 from daisylift_node.platform import PlatformDialect, PlatformDocuments
@@ -159,6 +160,11 @@
     assert PlatformDialect().read_response(200, {'server-load': load}).load is None
 
 
+def test_a_load_with_a_figure_of_newer_servers_is_not_dropped() -> None:
+    load = PlatformDialect().read_response(200, {'server-load': '1,2,6,130'}).load
+    assert load == LoadReport(running=1, waiting=2, slots=6)
+
+
 def test_responses_of_requests_that_did_not_run_are_recognized() -> None:
     dialect = PlatformDialect()
     assert dialect.read_response(503, {'not-executed': '1'}).was_not_run
