Sum up the shares of limited servers at most four times a second

The sum is kept for 0.25 s now. The line on a changed limit names this VM's own part, so that on-call can compare it with what the VM sent.

--- a/packages/daisylift-node/src/daisylift_node/version/fleet_view.py
+++ b/packages/daisylift-node/src/daisylift_node/version/fleet_view.py
@@ -185,11 +185,22 @@
             service=server.service,
             previous=previous,
             per_second=limit.per_second,
+            own_per_second=self._own_share(server, limit.per_second),
             source=source,
         ).info('request rate limit of the server changed')
         self.limit_notices.put(server.incarnation_id, limit)
         self._notify_changed()
 
+    def _own_share(
+        self, server: RegisteredServer, per_second: float | None
+    ) -> float | None:
+        if per_second is None:
+            return None
+        region = self.region_by_domain.get(server.failure_domain, '')
+        return round(
+            self.limit_shares.share(server.id, region, per_second).per_second, 3
+        )
+
     def apply_limit_notice(self, notice: LimitNotice, now: float) -> None:
         """Apply a limit that a peer heard of, if it is newer than the local one."""
         entry = self._entries_by_incarnation.get(notice.incarnation_id)
--- a/packages/daisylift/src/daisylift/decisions/placement.py
+++ b/packages/daisylift/src/daisylift/decisions/placement.py
@@ -37,6 +37,7 @@
 FAILURE_COST_SECONDS = 1.0  # cost of one expected failure
 SAME_REGION_SERVERS = 1  # per object; more would evict warm objects
 OTHER_REGION_SERVERS = 1  # per object, used when the region is full
+LIMITED_RATE_SECONDS = 0.25  # summing up all shares costs time in a large fleet
 SAMPLED_SERVERS = 8  # servers per group considered for a request without an object
 
 
@@ -62,6 +63,14 @@
     region_stats: RegionStats
 
 
+@dataclass(frozen=True, slots=True)
+class _LimitedRate:
+    """The rate that servers with limits accept from this node, and its age."""
+
+    per_second: float | None
+    computed_at: float
+
+
 class ServicePlacer:
     """Places the requests of one service on its registered servers."""
 
@@ -77,6 +86,7 @@
         self._rng = rng or random.Random()
         self.candidates_by_id: dict[str, Candidate] = {}
         self.cold_by_id: dict[str, Candidate] = {}
+        self._limited_rates: dict[frozenset[str] | None, _LimitedRate] = {}
         self.rankings = Rankings(location, ())
         for candidate in candidates:
             self.put(candidate)
@@ -154,8 +164,19 @@
         """Return the rate that this node may send if all servers have limits.
 
         ``allowed`` names the regions that may serve; None means any. Return None if a
-        server has no limit, or if there is no server.
+        server has no limit, or if there is no server. The rate may be
+        LIMITED_RATE_SECONDS old.
         """
+        key = None if allowed is None else frozenset(allowed)
+        rate = self._limited_rates.get(key)
+        if rate is None or now - rate.computed_at >= LIMITED_RATE_SECONDS:
+            rate = _LimitedRate(self._compute_limited_rate(allowed, now), now)
+            self._limited_rates[key] = rate
+        return rate.per_second
+
+    def _compute_limited_rate(
+        self, allowed: Collection[str] | None, now: float
+    ) -> float | None:
         rate: float | None = None
         for candidate in self.candidates_by_id.values():
             is_allowed = allowed is None or candidate.region in allowed
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -8,7 +8,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from daisylift.decisions.placement import Placement, ServicePlacer, WorkEstimate
+from daisylift.decisions.limit_shares import LimitShares
+from daisylift.decisions.placement import (
+    LIMITED_RATE_SECONDS,
+    Placement,
+    ServicePlacer,
+    WorkEstimate,
+)
 from daisylift.decisions.ranking import Candidate, Location
 from daisylift.decisions.server_stats import LoadReport, ServerStats
 from daisylift.models.registered_server import RegisteredServer
@@ -266,3 +272,18 @@
     assert placer.cold_candidates(1.0) == [fleet[3]]
     assert placer.cold_candidates(3.0) == []
     assert not placer.cold_by_id
+
+
+def test_the_rate_of_limited_servers_is_known_only_if_all_have_limits() -> None:
+    shares = LimitShares('entry-0')
+    shares.set_nodes({'entry-0': 'arusha'})
+    fleet = a_fleet()
+    placer = ServicePlacer(Location('arusha-a', 'arusha'), fleet, shares)
+    for candidate in fleet[1:]:
+        candidate.stats.limit.record_response(2.0, sent_at=0.0, now=1.0)
+    assert placer.limited_per_second(None, 1.0) is None
+    fleet[0].stats.limit.record_response(5.0, sent_at=0.0, now=1.0)
+    later = 1.0 + LIMITED_RATE_SECONDS
+    expected = 5.0 + 2.0 * (len(fleet) - 1)
+    assert placer.limited_per_second(None, later) == pytest.approx(expected)
+    assert placer.limited_per_second(frozenset({'nowhere'}), later) is None
