Test limits that cannot be read, and responses that say nothing of a limit

A limit that is no number leaves the one before, a failure without the server's headers withdraws none, and the limit in an answer of another server at the address is not believed.

--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -196,3 +196,33 @@
     assert harness.application is not None
     candidates_by_id = harness.application.view.placer('catalogue').candidates_by_id
     return candidates_by_id['i-1'].stats.limit.per_second
+
+
+async def _limit_after(*responses: bytes) -> float | None:
+    """Return the limit that is known after the responses of a server."""
+    scripts = [Script(response) for response in responses]
+    async with ScriptedServer(scripts) as server, EntryHarness() as harness:
+        await harness.configure(1, make_rule('/x/', 'catalogue'))
+        await harness.register(i_1=make_registration(server))
+        for _ in responses:
+            await harness.send()
+            await asyncio.sleep(0.05)
+        return _known_limit(harness)
+
+
+@pytest.mark.parametrize('text', ['many', '-3', ''])
+async def test_an_unreadable_limit_leaves_the_one_before(text: str) -> None:
+    named = http_response(b'whole', 'r-1', extra=('Server-Limit: 50',))
+    unreadable = http_response(b'whole', 'r-1', extra=(f'Server-Limit: {text}',))
+    assert await _limit_after(named, unreadable) == 50.0
+
+
+async def test_a_failure_that_is_not_the_servers_own_withdraws_no_limit() -> None:
+    named = http_response(b'whole', 'r-1', extra=('Server-Limit: 50',))
+    failure = b'HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n'
+    assert await _limit_after(named, failure) == 50.0
+
+
+async def test_a_limit_of_another_server_at_the_address_is_not_believed() -> None:
+    other = http_response(b'', 'r-1', '421 Misdirected', ('Server-Limit: 3',))
+    assert await _limit_after(other) is None
