Give the placer's random numbers their place among its arguments back

Traced: put the shares before the random numbers, so that the test, which passes its seeded ones by position, passed them as shares and drew unseeded.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -46,8 +46,8 @@
     return ServicePlacer(
         Location('d-0', 'r-0'),
         map(make_candidate, range(size)),
-        shares,
         random.Random(1),
+        shares,
     )
 
 
--- a/packages/daisylift-node/src/daisylift_node/version/fleet_view.py
+++ b/packages/daisylift-node/src/daisylift_node/version/fleet_view.py
@@ -271,7 +271,7 @@
                 for entry in self._entries_by_id.values()
                 if entry.server.service == service and self._is_usable(entry.server)
             ),
-            self.limit_shares,
+            limit_shares=self.limit_shares,
         )
 
     def _is_usable(self, server: RegisteredServer) -> bool:
--- a/packages/daisylift/src/daisylift/decisions/placement.py
+++ b/packages/daisylift/src/daisylift/decisions/placement.py
@@ -78,8 +78,8 @@
         self,
         location: Location,
         candidates: Iterable[Candidate],
-        limit_shares: LimitShares | None = None,
         rng: random.Random | None = None,
+        limit_shares: LimitShares | None = None,
     ) -> None:
         self._location = location
         self._limit_shares = limit_shares or LimitShares('')
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -278,7 +278,7 @@
     shares = LimitShares('entry-0')
     shares.set_nodes({'entry-0': 'arusha'})
     fleet = a_fleet()
-    placer = ServicePlacer(Location('arusha-a', 'arusha'), fleet, shares)
+    placer = ServicePlacer(Location('arusha-a', 'arusha'), fleet, limit_shares=shares)
     for candidate in fleet[1:]:
         candidate.stats.limit.record_response(2.0, sent_at=0.0, now=1.0)
     assert placer.limited_per_second(None, 1.0) is None
