--- a/packages/daisylift-node/src/daisylift_node/platform/store.py
+++ b/packages/daisylift-node/src/daisylift_node/platform/store.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import aiohttp
+from loguru import logger
 
 from daisylift_node.connection.send_once import SendOnce
 from daisylift_node.connection.sockets import enable_silence_detection
@@ -23,6 +24,7 @@
 )
 
 OBJECTS_PATH = '/-/objects'
+ERA_HEADER = 'Store-Era'
 CALL_TIMEOUT_SECONDS = 1.5  # a call takes a few milliseconds under normal load
 WATCH_MARGIN_SECONDS = 1.0  # added to the time for which the store holds a watch
 SILENCE_TIMEOUT_MS = 2000  # unacknowledged data closes the connection after this time
@@ -36,9 +38,13 @@
 
 
 class StoreClient:
-    """Calls the store over HTTP and raises every failure as a StoreError."""
+    """Calls the store over HTTP and raises every failure as a StoreError.
+
+    ``era`` is the latest era that a response named, or 0 before the first one.
+    """
 
     def __init__(self, url: str, timeout_seconds: float = CALL_TIMEOUT_SECONDS) -> None:
+        self.era = 0
         self._base = url.rstrip('/') + OBJECTS_PATH
         self._timeout_seconds = timeout_seconds
         self._session: aiohttp.ClientSession | None = None
@@ -153,6 +159,7 @@
                 timeout=timeout,
                 middlewares=(SendOnce(),),
             ) as response:
+                self._record_era(call, response.headers.get(ERA_HEADER, ''))
                 return _read_response(call, response.status, await response.read())
         except aiohttp.ClientConnectorError as error:
             raise NotExecutedError(f'{call}: {error}') from error
@@ -160,6 +167,16 @@
             reason = str(error) or type(error).__name__
             raise StoreError(f'{call}: {reason}') from error
 
+    def _record_era(self, call: str, text: str) -> None:
+        era = int(text) if text.isascii() and text.isdigit() else 0
+        if era <= self.era:
+            return
+        if self.era:
+            logger.bind(call=call, era=era, previous=self.era).warning(
+                'store is back from an older copy: revisions are given out again'
+            )
+        self.era = era
+
 
 def _read_response(call: str, status: int, text: bytes) -> dict[str, Any]:
     if status in NOT_EXECUTED_STATUSES:
--- a/packages/daisylift-node/src/daisylift_node/process/entry_application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_application.py
@@ -357,6 +357,7 @@
     async def _metrics_page(self, request: web.BaseRequest) -> web.Response:
         for kind, replica in self.view.replicas_by_kind.items():
             self.metrics.set_replica_revision(kind, replica.revision)
+        self.metrics.set_store_era(self.store.era)
         for service, queue in self.steering.queues_by_service.items():
             self.metrics.set_waiting(service, len(queue.waiters))
         return web.Response(body=self.metrics.exposition(), content_type='text/plain')
--- a/packages/daisylift-node/src/daisylift_node/process/entry_metrics.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_metrics.py
@@ -62,6 +62,12 @@
             ('kind',),
             registry=self.registry,
         )
+        self._store_era = Gauge(
+            'daisylift_store_era',
+            'Latest era that the store named; it increases when the store comes back '
+            'from an older copy.',
+            registry=self.registry,
+        )
         self.started_at = time.time()
 
     def record_request(
@@ -95,6 +101,10 @@
         """Set the revision of the local copy of a kind."""
         self._revision.labels(kind).set(revision)
 
+    def set_store_era(self, era: int) -> None:
+        """Set the latest era of the store."""
+        self._store_era.set(era)
+
     def exposition(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/packages/daisylift-node/src/daisylift_node/version/documents.py
+++ b/packages/daisylift-node/src/daisylift_node/version/documents.py
@@ -56,10 +56,15 @@
 
 @dataclass(frozen=True, slots=True)
 class DocumentListing:
-    """All objects of a kind, as they were at the revision of the store."""
+    """All objects of a kind, as they were at the revision of the store.
+
+    ``era`` is the number that the store increases when it comes back from an older
+    copy; 0 if it is not known.
+    """
 
     revision: int
     documents: tuple[StoredDocument, ...]
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,6 +73,7 @@
 
     revision: int
     changes: tuple[DocumentChange, ...]
+    era: int = 0
 
 
 class DocumentStore(Protocol):
--- a/packages/daisylift-node/src/daisylift_node/version/replica.py
+++ b/packages/daisylift-node/src/daisylift_node/version/replica.py
@@ -147,6 +147,9 @@
         Return False, with nothing changed, if the listing is older than the replica.
         """
         if self.is_loaded and listing.revision < self.revision:
+            logger.bind(
+                kind=self.kind, at=self.revision, listed=listing.revision, source=source
+            ).warning('listing ignored: it is older than the local copy')
             return False
         before = self.documents_by_name
         after = {document.name: document for document in listing.documents}
@@ -155,6 +158,7 @@
             for name in before.keys() | after.keys()
             if _revision(before, name) != _revision(after, name)
         ]
+        previous = self.revision
         self.documents_by_name = after
         self.revision = listing.revision
         self._recent_changes.clear()
@@ -164,7 +168,11 @@
         )
         self.is_loaded = True
         logger.bind(
-            kind=self.kind, at=self.revision, source=source, changes=len(names)
+            kind=self.kind,
+            at=self.revision,
+            previous=previous,
+            source=source,
+            changes=len(names),
         ).info('objects listed')
         if names:
             self._listener(names)
