--- a/tests/fakes/platform.py
+++ b/tests/fakes/platform.py
@@ -1,7 +1,8 @@
 """Fake platform with an object store and a VM list, and with switchable faults.
 
 The store implements the platform's published protocol: objects by kind and name,
-conditional writes, paged lists, watches with history, and error responses.
+conditional writes, paged lists, watches with history, and error responses. It can come
+back from an older copy of itself, in a new era.
 
 Run it as a process with ``python -m tests.fakes.platform --port PORT``.
 """
@@ -57,6 +58,7 @@
     kind: str
     stored: dict[str, Any]
     deleted: bool
+    at: float
 
 
 @dataclass(slots=True)
@@ -69,6 +71,7 @@
     events: list[StoreEvent] = field(default_factory=list)
     vms: list[dict[str, str]] = field(default_factory=list)
     revision: int = 1
+    era: int = 1
     history_from: int = 0
     port: int = 0
     calls: Counter[str] = field(default_factory=Counter)
@@ -93,6 +96,7 @@
                 web.get('/control', self._state),
             ]
         )
+        application.on_response_prepare.append(self._name_era)
         return application
 
     async def start(self) -> None:
@@ -115,6 +119,34 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def restore(self, revision: int) -> None:
+        """Come back from the copy that was made at the revision, in the next era.
+
+        Later changes are lost, and their revisions are given out again.
+        """
+        self.events = [each for each in self.events if each.revision <= revision]
+        self.objects = {}
+        for event in self.events:
+            key = event.kind, event.stored['metadata']['name']
+            self.objects.pop(key, None)
+            if not event.deleted:
+                self.objects[key] = event.stored
+        self.revision = revision
+        self.history_from = min(self.history_from, revision)
+        self.era += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def revision_before(self, seconds: float) -> int:
+        """Return the revision that the store had so many seconds ago."""
+        then = time.monotonic() - seconds
+        return max(
+            (each.revision for each in self.events if each.at <= then), default=1
+        )
+
+    async def _name_era(self, _: web.Request, response: web.StreamResponse) -> None:
+        response.headers['Store-Era'] = str(self.era)
+
     @web.middleware
     async def _with_faults(self, request: web.Request, handler: Any) -> Any:
         if request.path == '/control':
@@ -220,7 +252,7 @@
     def _record_event(
         self, kind: str, stored: dict[str, Any], *, deleted: bool
     ) -> None:
-        event = StoreEvent(self.revision, kind, stored, deleted)
+        event = StoreEvent(self.revision, kind, stored, deleted, time.monotonic())
         self.events.append(event)
         self.changed.set()
         self.changed = asyncio.Event()
@@ -231,7 +263,7 @@
         wait_seconds = int(request.query.get('wait_ms', '0')) / 1000.0
         deadline = time.monotonic() + wait_seconds
         while True:
-            if revision < self.history_from:
+            if not self.history_from <= revision <= self.revision:
                 return web.Response(status=410)
             events = self._events_after(kind, revision)
             left = deadline - time.monotonic()
@@ -259,8 +291,13 @@
         return web.json_response({'vms': self.vms})
 
     async def _control(self, request: web.Request) -> web.Response:
-        """Set faults, limits or the VM list from the JSON body."""
+        """Set faults, limits or the VM list, or restore, from the JSON body.
+
+        ``restore_seconds`` is the age of the copy from which the store comes back.
+        """
         document = await request.json()
+        if 'restore_seconds' in document:
+            self.restore(self.revision_before(document['restore_seconds']))
         for name, value in document.get('faults', {}).items():
             setattr(self.faults, name, value)
         for name, value in document.get('limits', {}).items():
