Order copies of the store by its era, then by revision

Cause: positions in the store's history were compared by revision alone, though revisions are given out again after a return. A listing after the return counted as older and was ignored, and the watch from the old revision got 410 again, without a pause; once the store reached the old revision, its other object there counted as the same; a watch from the old revision could be valid again and skip what came before; the copy of a VM that was cut off counted as newer and could replace the new one.

A position is now the era that the store names (Store-Era) and the revision. A later era is seen in any response and makes all kinds list anew; watches of the era before are cancelled, pages of two eras are not joined, and objects of two eras are compared by content. Copies and gossip between VMs carry the era; older VMs skip it. A watch that gets 410 right after a listing backs off.

--- a/packages/daisylift-node/src/daisylift_node/connection/gossip_codec.py
+++ b/packages/daisylift-node/src/daisylift_node/connection/gossip_codec.py
@@ -1,11 +1,12 @@
 """Encodes the gossip datagrams in which entry VMs announce heartbeats and revisions.
 
 A datagram starts with a header of three bytes: the version and the numbers of
-revisions and notices. It is followed by the revision of each kind in a fixed order,
-notices of poison requests (24 bytes each), and heartbeat records of 13 bytes: the
-hash of the VM's name, incarnation, counter, and whether the VM is ready. Names are
-long, and all nodes have them from the store, so hashes are sent instead. Records with
-an unknown hash are skipped.
+revisions and notices. It is followed by the revision of each kind in a fixed order, the
+era of each kind, notices of poison requests (24 bytes each), and heartbeat records of
+13 bytes: the hash of the VM's name, incarnation, counter, and whether the VM is ready.
+Names are long, and all nodes have them from the store, so hashes are sent instead.
+Records with an unknown hash are skipped. Eras count as revisions in the header: older
+nodes skip those beyond the kinds that they know, and send none.
 
 Limits that servers have named are sent in datagrams of their own, with a version that
 older nodes refuse: the version, the number of limits, and for each the server's
@@ -26,6 +27,7 @@
 from daisylift.errors import DaisyliftError
 
 CODEC_VERSION = 2
+KIND_COUNT = 4  # kinds of objects that the entry VMs copy from the store
 LIMITS_VERSION = 3
 HEADER = struct.Struct('!BBB')
 REVISION = struct.Struct('!Q')
@@ -49,12 +51,13 @@
 class Gossip:
     """The content of one datagram.
 
-    Revisions are in the order of the kinds; 0 means that there is none.
+    Revisions and eras are in the order of the kinds; 0 means that there is none.
     """
 
     heartbeats: tuple[Heartbeat, ...]
     revisions: tuple[int, ...]
     notices: tuple[BreakNotice, ...] = ()
+    eras: tuple[int, ...] = ()
     limits: tuple[LimitNotice, ...] = ()
 
 
@@ -67,10 +70,12 @@
     heartbeats: Iterable[Heartbeat],
     revisions: Sequence[int],
     notices: Sequence[BreakNotice] = (),
+    eras: Sequence[int] = (),
 ) -> bytes:
-    """Return the datagram."""
-    parts = [HEADER.pack(CODEC_VERSION, len(revisions), len(notices))]
-    parts += [REVISION.pack(revision) for revision in revisions]
+    """Return the datagram; eras can be given if there are KIND_COUNT revisions."""
+    numbers = [*revisions, *eras]
+    parts = [HEADER.pack(CODEC_VERSION, len(numbers), len(notices))]
+    parts += [REVISION.pack(number) for number in numbers]
     parts += [NOTICE.pack(each.digest, each.break_id) for each in notices]
     parts += [
         RECORD.pack(
@@ -94,7 +99,7 @@
             raise GossipError(f'unknown datagram version {version}')
         notices_start = HEADER.size + count * REVISION.size
         start = notices_start + notice_count * NOTICE.size
-        revisions = tuple(
+        numbers = tuple(
             REVISION.unpack_from(data, HEADER.size + index * REVISION.size)[0]
             for index in range(count)
         )
@@ -112,7 +117,8 @@
         for hashed, incarnation, counter, ready in records
         if hashed in names_by_hash
     )
-    return Gossip(heartbeats, revisions, notices)
+    revisions, eras = numbers[:KIND_COUNT], numbers[KIND_COUNT:]
+    return Gossip(heartbeats, revisions, notices, eras=eras)
 
 
 def encode_limits(limits: Sequence[LimitNotice]) -> bytes:
--- a/packages/daisylift-node/src/daisylift_node/platform/store.py
+++ b/packages/daisylift-node/src/daisylift_node/platform/store.py
@@ -2,7 +2,8 @@
 
 import json
 import socket
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any
 
@@ -37,6 +38,12 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class _Response:
+    content: dict[str, Any]
+    era: int
+
+
 class StoreClient:
     """Calls the store over HTTP and raises every failure as a StoreError.
 
@@ -45,6 +52,7 @@
 
     def __init__(self, url: str, timeout_seconds: float = CALL_TIMEOUT_SECONDS) -> None:
         self.era = 0
+        self._on_return: list[Callable[[], None]] = []
         self._base = url.rstrip('/') + OBJECTS_PATH
         self._timeout_seconds = timeout_seconds
         self._session: aiohttp.ClientSession | None = None
@@ -59,9 +67,13 @@
         if self._session is not None:
             await self._session.close()
 
+    def on_return(self, callback: Callable[[], None]) -> None:
+        """Call the callback when the store is back from an older copy."""
+        self._on_return.append(callback)
+
     async def get(self, kind: str, name: str) -> StoredDocument:
         """Return one object; raise NotFoundError if there is none."""
-        return _document(await self._call('GET', f'/{kind}/{name}'))
+        return _document((await self._call('GET', f'/{kind}/{name}')).content)
 
     async def list(
         self, kind: str, after: str = '', limit: int | None = None
@@ -69,22 +81,26 @@
         """Return up to ``limit`` objects of the kind that follow ``after``, by name.
 
         The result has the lowest revision of the pages read, so that a watch from
-        it also reports objects that changed between two pages.
+        it also reports objects that changed between two pages. Pages from before and
+        after a return of the store from an older copy raise StoreError.
         """
         documents: list[StoredDocument] = []
         lowest: int | None = None
+        era: int | None = None
         for _ in range(MAX_PAGES):
             query = {'after': after} if after else {}
-            page = await self._call('GET', f'/{kind}', query=query)
+            response = await self._call('GET', f'/{kind}', query=query)
+            page = response.content
+            if era not in (None, response.era):
+                raise StoreError(f'the store came back while {kind} was listed')
+            era = response.era
             items = [_document(item) for item in _field(page, 'items', list)]
             documents.extend(items)
             revision = _field(page, 'at', int)
             lowest = revision if lowest is None else min(lowest, revision)
             is_full = limit is not None and len(documents) >= limit
             if is_full or not page.get('more') or not items:
-                return DocumentListing(
-                    revision=lowest, documents=tuple(documents[:limit])
-                )
+                return DocumentListing(lowest, tuple(documents[:limit]), era)
             after = items[-1].name
         raise StoreError(f'the list of {kind} does not end')
 
@@ -104,15 +120,18 @@
             },
             timeout_seconds=wait_seconds + WATCH_MARGIN_SECONDS,
         )
+        events = _field(response.content, 'events', list)
         return DocumentChanges(
-            revision=_field(response, 'at', int),
-            changes=tuple(_change(event) for event in _field(response, 'events', list)),
+            revision=_field(response.content, 'at', int),
+            changes=tuple(_change(event) for event in events),
+            era=response.era,
         )
 
     async def create(self, kind: str, name: str, body: Any) -> StoredDocument:
         """Create an object; raise ConflictError if it exists."""
         document = {'metadata': {'name': name}, 'specification': body}
-        return _document(await self._call('POST', f'/{kind}', document=document))
+        response = await self._call('POST', f'/{kind}', document=document)
+        return _document(response.content)
 
     async def update(
         self, kind: str, name: str, body: Any, revision: int
@@ -120,7 +139,8 @@
         """Replace an object; raise ConflictError unless it is at the revision."""
         metadata = {'name': name, 'revision': revision}
         document = {'metadata': metadata, 'specification': body}
-        return _document(await self._call('PUT', f'/{kind}/{name}', document=document))
+        response = await self._call('PUT', f'/{kind}/{name}', document=document)
+        return _document(response.content)
 
     async def put(self, kind: str, name: str, body: Any) -> None:
         """Create the object, or replace it if it exists."""
@@ -142,7 +162,7 @@
         query: Mapping[str, str] | None = None,
         document: Mapping[str, Any] | None = None,
         timeout_seconds: float | None = None,
-    ) -> dict[str, Any]:
+    ) -> _Response:
         if self._session is None:
             raise NotExecutedError('the client has not been started')
         timeout = aiohttp.ClientTimeout(
@@ -159,23 +179,31 @@
                 timeout=timeout,
                 middlewares=(SendOnce(),),
             ) as response:
-                self._record_era(call, response.headers.get(ERA_HEADER, ''))
-                return _read_response(call, response.status, await response.read())
+                era = _era(response.headers.get(ERA_HEADER, ''))
+                self._record_era(call, era)
+                content = await response.read()
+                return _Response(_read_response(call, response.status, content), era)
         except aiohttp.ClientConnectorError as error:
             raise NotExecutedError(f'{call}: {error}') from error
         except (aiohttp.ClientError, OSError) as error:
             reason = str(error) or type(error).__name__
             raise StoreError(f'{call}: {reason}') from error
 
-    def _record_era(self, call: str, text: str) -> None:
-        era = int(text) if text.isascii() and text.isdigit() else 0
+    def _record_era(self, call: str, era: int) -> None:
         if era <= self.era:
             return
-        if self.era:
-            logger.bind(call=call, era=era, previous=self.era).warning(
-                'store is back from an older copy: revisions are given out again'
-            )
-        self.era = era
+        previous, self.era = self.era, era
+        if not previous:
+            return
+        logger.bind(call=call, era=era, previous=previous).warning(
+            'store is back from an older copy: revisions are given out again'
+        )
+        for callback in self._on_return:
+            callback()
+
+
+def _era(text: str) -> int:
+    return int(text) if text.isascii() and text.isdigit() else 0
 
 
 def _read_response(call: str, status: int, text: bytes) -> dict[str, Any]:
--- a/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
+++ b/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
@@ -7,7 +7,8 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from itertools import zip_longest
 from typing import Any, cast
 
 import aiohttp
@@ -42,6 +43,7 @@
     DocumentChange,
     DocumentChanges,
     DocumentListing,
+    Position,
     StoredDocument,
 )
 from daisylift_node.version.fleet_view import FleetView
@@ -53,6 +55,7 @@
 FETCH_TIMEOUT_SECONDS = 1.0
 COPY_PATH = '/copies/{kind}'
 SINCE_QUERY = 'since'
+ERA_QUERY = 'era'
 POISON_CRASH_LIMIT = 3  # servers that a request may crash before it is refused
 POISON_BLOCK_SECONDS = 120.0  # refusals end after this; servers restart in seconds
 
@@ -82,7 +85,7 @@
         self._behind_since_by_kind: dict[str, float] = {}
         self._fetches: dict[str, asyncio.Task[None]] = {}
         self._names_by_hash: dict[int, str] = {}
-        self._members_revision = -1
+        self._members_at: Position | None = None
         view.watches_store = self.watches_store
 
     async def start(self) -> None:
@@ -131,8 +134,9 @@
             self._view.apply_limit_notice(limit, now)
         url = f'http://{address[0]}:{address[1]}'
         replicas = self._view.replicas_by_kind.values()
-        for replica, revision in zip(replicas, gossip.revisions, strict=False):
-            self._fetch_if_behind(replica, revision, url, now)
+        positions = zip_longest(gossip.eras, gossip.revisions, fillvalue=0)
+        for replica, position in zip(replicas, positions, strict=False):
+            self._fetch_if_behind(replica, Position(*position), url, now)
 
     async def send_gossip(self) -> None:
         """Send heartbeats, revisions and poison notices to some peers."""
@@ -140,17 +144,16 @@
             return
         now = self._clock()
         self._update_members()
+        changed = [each.last_change for each in self._view.replicas_by_kind.values()]
         data = encode(
             self.liveness.heartbeats_to_send(now, self._rng, self._reported_names()),
-            [
-                each.last_change_revision
-                for each in self._view.replicas_by_kind.values()
-            ],
+            [position.revision for position in changed],
             self._poison_notices.take(
                 MAX_NOTICES_BESIDE_LIMITS
                 if self._view.limit_notices
                 else MAX_NOTICES_PER_DATAGRAM
             ),
+            [position.era for position in changed],
         )
         self._send_to_peers(data)
 
@@ -215,10 +218,10 @@
 
     def _update_members(self) -> None:
         """Apply the registered members, if they have changed."""
-        change_revision = self._view.members.last_change_revision
-        if change_revision == self._members_revision:
+        members_at = self._view.members.last_change
+        if members_at == self._members_at:
             return
-        self._members_revision = change_revision
+        self._members_at = members_at
         now = self._clock()
         members_by_name = self._view.members_by_name
         self._names_by_hash = {name_hash(name): name for name in members_by_name}
@@ -228,11 +231,11 @@
             self.liveness.lost_seconds = LARGE_FLEET_LOST_SECONDS
 
     def _fetch_if_behind(
-        self, replica: Replica, revision: int, url: str, now: float
+        self, replica: Replica, position: Position, url: str, now: float
     ) -> None:
-        """Fetch the peer's copy if the replica has stayed behind its revision."""
+        """Fetch the peer's copy if the replica has stayed behind its position."""
         kind = replica.kind
-        if replica.is_loaded and revision <= replica.revision:
+        if replica.is_loaded and position <= replica.position:
             self._behind_since_by_kind.pop(kind, None)
             return
         since = self._behind_since_by_kind.setdefault(kind, now)
@@ -245,8 +248,10 @@
     async def _fetch(self, replica: Replica, url: str) -> None:
         if self._session is None:
             return
-        since = replica.revision
-        query = {SINCE_QUERY: str(since)} if replica.is_loaded else {}
+        since = replica.position
+        query = {}
+        if replica.is_loaded:
+            query = {SINCE_QUERY: str(since.revision), ERA_QUERY: str(since.era)}
         path = COPY_PATH.format(kind=replica.kind)
         try:
             async with self._session.get(url + path, params=query) as response:
@@ -272,12 +277,13 @@
         replica = self._view.replicas_by_kind.get(kind)
         if replica is None or not replica.is_loaded:
             return web.Response(status=404)
-        since = request.query.get(SINCE_QUERY, '')
-        changes = replica.changes_since(int(since)) if since.isdigit() else None
+        since = _read_position(request.query)
+        changes = replica.changes_since(since) if since is not None else None
         if changes is not None:
             return web.json_response(
                 {
                     'at': changes.revision,
+                    'era': changes.era,
                     'changes': [
                         [_entry(each.document), each.deleted]
                         for each in changes.changes
@@ -288,6 +294,7 @@
         return web.json_response(
             {
                 'at': listing.revision,
+                'era': listing.era,
                 'documents': [_entry(each) for each in listing.documents],
             }
         )
@@ -297,16 +304,24 @@
     return [document.name, document.revision, document.body]
 
 
+def _read_position(query: Mapping[str, str]) -> Position | None:
+    era, since = query.get(ERA_QUERY, '0'), query.get(SINCE_QUERY, '')
+    if not since.isdecimal() or not era.isdecimal():
+        return None
+    return Position(int(era), int(since))
+
+
 def _read_copy(response: Any) -> DocumentListing | DocumentChanges:
     try:
         revision = int(response['at'])
+        era = int(response.get('era', 0))
         if 'changes' not in response:
             documents = tuple(StoredDocument(*each) for each in response['documents'])
-            return DocumentListing(revision=revision, documents=documents)
+            return DocumentListing(revision, documents, era)
         changes = tuple(
             DocumentChange(StoredDocument(*entry), bool(deleted))
             for entry, deleted in response['changes']
         )
-        return DocumentChanges(revision=revision, changes=changes)
-    except (KeyError, TypeError) as error:
+        return DocumentChanges(revision, changes, era)
+    except (AttributeError, KeyError, TypeError) as error:
         raise ValueError(f'invalid copy: {error}') from error
--- a/packages/daisylift-node/src/daisylift_node/version/documents.py
+++ b/packages/daisylift-node/src/daisylift_node/version/documents.py
@@ -1,6 +1,6 @@
 """The interface to the store, independent of the store's protocol."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any, Protocol
 
@@ -13,6 +13,19 @@
     """A document in the store cannot be decoded; names the field and the reason."""
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class Position:
+    """A point in the history of the store.
+
+    ``era`` is the number that the store increases when it comes back from an older
+    copy; 0 if it is not known. Revisions are comparable only within an era, because
+    the store gives them out again after such a return.
+    """
+
+    era: int = 0
+    revision: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class StoredDocument:
     """An object of the store; ``revision`` is the revision of its last change."""
@@ -56,16 +69,17 @@
 
 @dataclass(frozen=True, slots=True)
 class DocumentListing:
-    """All objects of a kind, as they were at the revision of the store.
-
-    ``era`` is the number that the store increases when it comes back from an older
-    copy; 0 if it is not known.
-    """
+    """All objects of a kind, as they were at the revision of the store."""
 
     revision: int
     documents: tuple[StoredDocument, ...]
     era: int = 0
 
+    @property
+    def position(self) -> Position:
+        """Return the point in the history of the store."""
+        return Position(self.era, self.revision)
+
 
 @dataclass(frozen=True, slots=True)
 class DocumentChanges:
@@ -75,9 +89,22 @@
     changes: tuple[DocumentChange, ...]
     era: int = 0
 
+    @property
+    def position(self) -> Position:
+        """Return the point in the history of the store after the last change."""
+        return Position(self.era, self.revision)
+
 
 class DocumentStore(Protocol):
-    """The calls to the store. All of them raise StoreError on failure."""
+    """The calls to the store. All of them raise StoreError on failure.
+
+    ``era`` is the latest era that a response named; 0 before the first one.
+    """
+
+    era: int
+
+    def on_return(self, callback: Callable[[], None]) -> None:
+        """Call the callback when the store is back from an older copy."""
 
     async def list(self, kind: str) -> DocumentListing:
         """Return all objects of the kind."""
--- a/packages/daisylift-node/src/daisylift_node/version/fleet_view.py
+++ b/packages/daisylift-node/src/daisylift_node/version/fleet_view.py
@@ -106,6 +106,8 @@
             is_store_reachable=self._is_config_connected,
         )
 
+        store.on_return(self._store_returned)
+
     @property
     def replicas_by_kind(self) -> dict[str, Replica]:
         """The replicas of the store's objects, by kind."""
@@ -255,6 +257,10 @@
             if kind != recovered_kind:
                 replica.retry()
 
+    def _store_returned(self) -> None:
+        for replica in self.replicas_by_kind.values():
+            replica.store_returned()
+
     def _cold_per_second(self, service: str) -> float:
         service_config = (
             self.routes.state.services_by_name.get(service) if self.routes else None
--- a/packages/daisylift-node/src/daisylift_node/version/replica.py
+++ b/packages/daisylift-node/src/daisylift_node/version/replica.py
@@ -1,8 +1,9 @@
 """A local replica of the store's objects of one kind, kept up to date by watching.
 
-While this VM cannot reach the store, the replica is updated from peers with a newer
-revision. Revisions are assigned by the store, so the replicas of different VMs can be
-compared. The revision of a replica never decreases.
+While this VM cannot reach the store, the replica is updated from peers at a later
+position. Positions are assigned by the store, so the replicas of different VMs can be
+compared. The position of a replica never goes back; its revision does when the store
+comes back from an older copy, which begins a new era.
 """
 
 import asyncio
@@ -19,6 +20,7 @@
     DocumentListing,
     DocumentStore,
     HistoryGoneError,
+    Position,
     StoredDocument,
     StoreError,
 )
@@ -62,8 +64,8 @@
     ) -> None:
         self.kind = kind
         self.documents_by_name: dict[str, StoredDocument] = {}
-        self.revision = 0
-        self.last_change_revision = 0
+        self.position = Position()
+        self.last_change = Position()
         self.is_loaded = False
         self.is_connected = False
         self._store = store
@@ -82,6 +84,11 @@
         self._refreshed_at = 0.0
         self._was_lost = False
 
+    @property
+    def revision(self) -> int:
+        """The revision of the store that the replica is at."""
+        return self.position.revision
+
     def refresh(self) -> None:
         """Cancel the watch in progress, so that a new one is started.
 
@@ -102,13 +109,23 @@
         self._retry_now.set()
         self.refresh()
 
+    def store_returned(self) -> None:
+        """List all objects now, because the store is back from an older copy.
+
+        A watch in progress is cancelled: it may wait at a revision of the era before.
+        """
+        self._retry_now.set()
+        if self._watch is not None:
+            self._watch.cancel()
+
     async def follow(self) -> None:
         """Keep the replica up to date until cancelled."""
         pause = INITIAL_PAUSE_SECONDS
         relist = True
+        lost_history = False
         while True:
             try:
-                if relist:
+                if relist or self._store.era > self.position.era:
                     self.apply_listing(await self._store.list(self.kind), 'store')
                     self._record_connection(True, '')
                     relist = False
@@ -121,6 +138,10 @@
                 )
                 relist = True
                 self._on_interruption(self.kind)
+                if lost_history:
+                    await self._pause(pause * random.uniform(MIN_PAUSE_FRACTION, 1.0))
+                    pause = min(2.0 * pause, MAX_PAUSE_SECONDS)
+                lost_history = True
                 continue
             except StoreError as error:
                 self._record_connection(False, str(error))
@@ -139,6 +160,7 @@
                 continue
             self._record_connection(True, '')
             pause = INITIAL_PAUSE_SECONDS
+            lost_history = False
             await self._wait_while_others_watch()
 
     def apply_listing(self, listing: DocumentListing, source: str) -> bool:
@@ -146,31 +168,41 @@
 
         Return False, with nothing changed, if the listing is older than the replica.
         """
-        if self.is_loaded and listing.revision < self.revision:
+        if self.is_loaded and listing.position < self.position:
             logger.bind(
-                kind=self.kind, at=self.revision, listed=listing.revision, source=source
+                kind=self.kind,
+                at=self.revision,
+                era=self.position.era,
+                listed=listing.revision,
+                listed_era=listing.era,
+                source=source,
             ).warning('listing ignored: it is older than the local copy')
             return False
+        is_change = _has_other_revision
+        if listing.era != self.position.era:
+            is_change = _has_other_body
         before = self.documents_by_name
         after = {document.name: document for document in listing.documents}
         names = [
             name
             for name in before.keys() | after.keys()
-            if _revision(before, name) != _revision(after, name)
+            if is_change(before.get(name), after.get(name))
         ]
-        previous = self.revision
+        previous = self.position
         self.documents_by_name = after
-        self.revision = listing.revision
+        self.position = listing.position
         self._recent_changes.clear()
         self._history_start = listing.revision
-        self.last_change_revision = max(
-            [self.last_change_revision, *(each.revision for each in listing.documents)]
-        )
+        revisions = [each.revision for each in listing.documents]
+        if previous.era == listing.era:
+            revisions.append(self.last_change.revision)
+        self.last_change = Position(listing.era, max(revisions, default=0))
         self.is_loaded = True
         logger.bind(
             kind=self.kind,
             at=self.revision,
-            previous=previous,
+            previous=previous.revision,
+            era=listing.era,
             source=source,
             changes=len(names),
         ).info('objects listed')
@@ -181,27 +213,32 @@
     def listing(self) -> DocumentListing:
         """Return all objects, for peers."""
         return DocumentListing(
-            revision=self.revision, documents=tuple(self.documents_by_name.values())
+            self.revision, tuple(self.documents_by_name.values()), self.position.era
         )
 
-    def changes_since(self, revision: int) -> DocumentChanges | None:
-        """Return the changes after the revision, or None if some are no longer kept."""
+    def changes_since(self, since: Position) -> DocumentChanges | None:
+        """Return the changes after the position, or None if some are no longer kept."""
+        if since.era != self.position.era:
+            return None
+        revision = since.revision
         oldest = self._recent_changes[0][0] if self._recent_changes else self.revision
         is_full = len(self._recent_changes) == MAX_RECENT_CHANGES
         if revision < self._history_start or (is_full and revision < oldest):
             return None
         changes = tuple(change for at, change in self._recent_changes if at > revision)
-        return DocumentChanges(revision=self.revision, changes=changes)
+        return DocumentChanges(self.revision, changes, self.position.era)
 
-    def apply_changes(self, batch: DocumentChanges, since: int) -> bool:
-        """Apply the changes after the revision ``since``.
+    def apply_changes(self, batch: DocumentChanges, since: Position) -> bool:
+        """Apply the changes after the position ``since``.
 
-        Return False, with nothing changed, unless the replica is at that revision.
+        Return False, with nothing changed, unless the replica is at that position and
+        the changes are of the same era.
         """
         if (
             not self.is_loaded
-            or self.revision != since
-            or batch.revision < self.revision
+            or self.position != since
+            or batch.era != since.era
+            or batch.position < self.position
         ):
             return False
         names = []
@@ -213,9 +250,9 @@
                 self.documents_by_name.pop(name, None)
             else:
                 self.documents_by_name[name] = change.document
-        self.revision = batch.revision
+        self.position = batch.position
         if names:
-            self.last_change_revision = batch.revision
+            self.last_change = batch.position
             self._listener(names)
         return True
 
@@ -233,9 +270,9 @@
             remaining_seconds -= ROLE_POLL_SECONDS
 
     async def _watch_once(self) -> None:
-        since = self.revision
+        since = self.position
         seconds = self._watch_seconds if self.is_connected else PROBE_WATCH_SECONDS
-        call = self._store.watch(self.kind, since, seconds)
+        call = self._store.watch(self.kind, since.revision, seconds)
         self._watch = asyncio.ensure_future(call)
         try:
             batch = await self._watch
@@ -268,6 +305,17 @@
     return task is not None and task.cancelling() > 0
 
 
-def _revision(documents_by_name: dict[str, StoredDocument], name: str) -> int | None:
-    document = documents_by_name.get(name)
-    return None if document is None else document.revision
+def _has_other_revision(
+    before: StoredDocument | None, after: StoredDocument | None
+) -> bool:
+    if before is None or after is None:
+        return True
+    return before.revision != after.revision
+
+
+def _has_other_body(
+    before: StoredDocument | None, after: StoredDocument | None
+) -> bool:
+    if before is None or after is None:
+        return True
+    return before.body != after.body
--- a/tests/fakes/platform.py
+++ b/tests/fakes/platform.py
@@ -122,7 +122,8 @@
     def restore(self, revision: int) -> None:
         """Come back from the copy that was made at the revision, in the next era.
 
-        Later changes are lost, and their revisions are given out again.
+        Later changes are lost, their revisions are given out again, and the connections
+        of waiting watches break.
         """
         self.events = [each for each in self.events if each.revision <= revision]
         self.objects = {}
@@ -262,7 +263,10 @@
         revision = int(request.query['watch'])
         wait_seconds = int(request.query.get('wait_ms', '0')) / 1000.0
         deadline = time.monotonic() + wait_seconds
+        era = self.era
         while True:
+            if era != self.era and request.transport is not None:
+                request.transport.abort()
             if not self.history_from <= revision <= self.revision:
                 return web.Response(status=410)
             events = self._events_after(kind, revision)
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -6,7 +6,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import pytest
@@ -22,6 +22,7 @@
     DocumentChanges,
     DocumentListing,
     HistoryGoneError,
+    Position,
     StoredDocument,
     StoreError,
 )
@@ -41,6 +42,7 @@
 
     def __init__(self) -> None:
         self.revision = 1
+        self.era = 0
         self.documents: dict[str, StoredDocument] = {}
         self.changes: list[tuple[int, DocumentChange]] = []
         self.history_from = 0
@@ -50,6 +52,9 @@
         self.waits: list[float] = []
         self._changed = asyncio.Event()
 
+    def on_return(self, callback: Callable[[], None]) -> None:
+        """Do nothing: this store never comes back from a copy."""
+
     def write(self, name: str, body: Any = None) -> None:
         """Write an object."""
         self.revision += 1
@@ -240,7 +245,7 @@
     store.write('i-1')
     async with Followed(store) as followed:
         replica = followed.replica
-        since = replica.revision
+        since = replica.position
         store.write('i-2')
         store.remove('i-1')
         await asyncio.sleep(0.02)
@@ -250,7 +255,7 @@
             ('i-2', False),
             ('i-1', True),
         ]
-        assert replica.changes_since(since - 1) is None
+        assert replica.changes_since(Position(0, since.revision - 1)) is None
 
 
 async def test_changes_of_a_peer_are_applied_only_at_their_revision(
@@ -262,9 +267,11 @@
         revision = replica.revision
         change = DocumentChange(make_document('i-2', revision + 3), deleted=False)
         assert not replica.apply_changes(
-            DocumentChanges(revision + 3, (change,)), revision - 1
+            DocumentChanges(revision + 3, (change,)), Position(0, revision - 1)
+        )
+        assert replica.apply_changes(
+            DocumentChanges(revision + 3, (change,)), replica.position
         )
-        assert replica.apply_changes(DocumentChanges(revision + 3, (change,)), revision)
         assert replica.revision == revision + 3
         assert set(replica.documents_by_name) == {'i-1', 'i-2'}
 
