Keep what was read before a return until its writer had time to write again

After a return the store lacks what operators, backend servers and VMs wrote in its last seconds, and holds what they had replaced since. Until they write again, a VM sent requests to servers that had left or were gone (the copy has them as ready), resumed an evacuated failure domain, and counted too few VMs, by which it divides the bounds of the fleet (cold servers, limits of servers, retries).

Now a registration that its server replaced before the return (sequence, born) is ignored, missing VMs and evacuations are kept, and a leaving server that is missing keeps the grace of the others. After four heartbeats the store is believed again: servers without a heartbeat have left it after three. A VM registers again by what the store holds, not by what it keeps. A lost VM is not removed by a revision of the era before.

--- a/packages/daisylift-node/src/daisylift_node/entry_config.py
+++ b/packages/daisylift-node/src/daisylift_node/entry_config.py
@@ -72,9 +72,13 @@
 
 
 class StoreSection(Section):
-    """The address of the platform's object store."""
+    """The platform's object store.
+
+    ``heartbeat_ms`` is the interval in which backend servers write their registration.
+    """
 
     address: AddressText
+    heartbeat_ms: float = Field(default=1500.0, gt=0)
 
 
 class LimitsSection(Section):
--- a/packages/daisylift-node/src/daisylift_node/platform/documents.py
+++ b/packages/daisylift-node/src/daisylift_node/platform/documents.py
@@ -109,6 +109,7 @@
     state: str
     cold_remaining_ms: float = Field(default=0, ge=0)  # at the time of writing
     born: int = 0  # start time in Unix ms, by the server's clock
+    sequence: Any = 0  # number of the heartbeat since the start
 
 
 class _Member(_Document):
@@ -181,6 +182,7 @@
             leaving=server.state == DRAINING_STATE,
             cold_seconds=server.cold_remaining_ms / MS_PER_SECOND,
             started_at_ms=server.born,
+            sequence=server.sequence if isinstance(server.sequence, int) else 0,
         )
 
     def member(self, name: str, body: Any) -> EntryMember:
--- a/packages/daisylift-node/src/daisylift_node/process/entry_application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_application.py
@@ -46,6 +46,7 @@
 
 WAKE_PERIOD_SECONDS = 0.05  # waiters notice slots freed elsewhere within this time
 EXPIRE_LAPSED_PERIOD_SECONDS = 0.2
+EXPIRE_HELD_PERIOD_SECONDS = 0.5
 LOG_FLUSH_PERIOD_SECONDS = 0.2
 CLOSE_IDLE_PERIOD_SECONDS = 1.0
 INCARNATIONS_PER_SECOND = 2  # a restart takes over 0.5 s; 32 bits last until 2038
@@ -61,6 +62,7 @@
 MS_PER_SECOND = 1000.0
 LIST_MARGIN_SECONDS = 0.5  # time for the list after a watch without events
 MIN_WATCH_SECONDS = 0.5
+REWRITE_HEARTBEATS = 4
 
 
 def watch_seconds(stability_seconds: float) -> float:
@@ -73,6 +75,15 @@
     return max(MIN_WATCH_SECONDS, stability_seconds - LIST_MARGIN_SECONDS)
 
 
+def rewrite_seconds(heartbeat_seconds: float) -> float:
+    """Return how long writers have to write again after a return of the store.
+
+    A server without a heartbeat is removed after three intervals, so what is still in
+    the store after four was written since, or is kept alive.
+    """
+    return REWRITE_HEARTBEATS * heartbeat_seconds
+
+
 class EntryApplication:
     """Owns all parts of one entry VM."""
 
@@ -98,6 +109,7 @@
             LimitShares(vm.id),
             self._clock,
             watch_seconds(bounds.stability_window_ms / MS_PER_SECOND),
+            rewrite_seconds(settings.store.heartbeat_ms / MS_PER_SECOND),
         )
         self.member = EntryMember(
             name=vm.id,
@@ -176,6 +188,7 @@
         self.timer.subscribe(LIMITS_PERIOD_SECONDS, self.peers.send_limits)
         self.timer.subscribe(WAKE_PERIOD_SECONDS, self._wake)
         self.timer.subscribe(EXPIRE_LAPSED_PERIOD_SECONDS, self.view.expire_lapsed)
+        self.timer.subscribe(EXPIRE_HELD_PERIOD_SECONDS, self.view.expire_held)
         self.timer.subscribe(CLOSE_IDLE_PERIOD_SECONDS, self.pool.close_idle)
         self.timer.subscribe(REMOVE_LOST_PERIOD_SECONDS, self._remove_lost)
         self.timer.subscribe(LOG_FLUSH_PERIOD_SECONDS, self._lines.drain)
@@ -269,7 +282,7 @@
             if not self.view.members.is_loaded:
                 await asyncio.sleep(LOADED_POLL_SECONDS)
                 continue
-            registered = self.view.members_by_name.get(self.member.name)
+            registered = self.view.registered_member(self.member.name)
             if registered == self.member:
                 await asyncio.sleep(REGISTER_PERIOD_SECONDS)
                 continue
@@ -296,8 +309,9 @@
         """Remove the registrations of VMs that have been lost for a long time."""
         for name in self.peers.lost_members_to_remove():
             document = self.view.members.documents_by_name.get(name)
-            if document is None:
-                continue
+            is_current = self.view.members.position.era == self.store.era
+            if document is None or not is_current:
+                continue  # the revision may be another object's in the store's era
             kind = self._documents.member_kind
             try:
                 await self.store.delete(kind, name, document.revision)
--- a/packages/daisylift-node/src/daisylift_node/version/fleet_view.py
+++ b/packages/daisylift-node/src/daisylift_node/version/fleet_view.py
@@ -18,6 +18,7 @@
 from daisylift.decisions.route_table import RouteTable
 from daisylift.decisions.server_limits import ServerLimit
 from daisylift.decisions.server_stats import ServerStats
+from daisylift.decisions.store_return import HeldNames, is_superseded
 from daisylift.models.desired_state import DesiredState
 from daisylift.models.registered_server import EntryMember, RegisteredServer
 from daisylift_node.version.documents import (
@@ -36,6 +37,12 @@
 LONG_WATCH_SECONDS = 10.0
 # A lapsed registration that is renewed at all is renewed within 2 s.
 LAPSE_GRACE_SECONDS = 1.8
+# After a return of the store from an older copy: servers without a heartbeat have left
+# the store again by then, and the other writers have written again.
+DEFAULT_REWRITE_SECONDS = 6.0
+# The store comes back from a copy some seconds old; servers that left before that are
+# not in it.
+REMOVED_KEPT_SECONDS = 60.0
 ASSUMED_FLEET_SIZE = 16  # used until the members have been read
 ASSUMED_FLEET_NAMES = ('',) * ASSUMED_FLEET_SIZE
 DEFAULT_COLD_PER_SECOND = 10.0
@@ -48,7 +55,9 @@
 class _ServerEntry:
     server: RegisteredServer
     stats: ServerStats
+    era: int
     lapses_at: float | None = None
+    removed_at: float = 0.0
 
 
 class FleetView:
@@ -64,6 +73,7 @@
         limit_shares: LimitShares,
         clock: Clock,
         watch_seconds: float = DEFAULT_WATCH_SECONDS,
+        rewrite_seconds: float = DEFAULT_REWRITE_SECONDS,
     ) -> None:
         self.location = location
         self.region_by_domain = region_by_domain
@@ -80,6 +90,11 @@
         self.watches_store: Callable[[], bool] = lambda: True
         self._entries_by_id: dict[str, _ServerEntry] = {}
         self._entries_by_incarnation: dict[int, _ServerEntry] = {}
+        self._removed_by_id: dict[str, _ServerEntry] = {}
+        self._era_by_kind: dict[str, int] = {}
+        self._held_servers = HeldNames(rewrite_seconds)
+        self._held_members = HeldNames(rewrite_seconds)
+        self._held_domains = HeldNames(rewrite_seconds)
         self._placers_by_service: dict[str, ServicePlacer] = {}
         self._region_stats: dict[tuple[str, str], RegionStats] = {}
         self._on_change: list[Callable[[], None]] = []
@@ -225,6 +240,32 @@
             self._remove(entry)
         if gone:
             self._notify_changed()
+        self._removed_by_id = {
+            name: entry
+            for name, entry in self._removed_by_id.items()
+            if now - entry.removed_at < REMOVED_KEPT_SECONDS
+        }
+
+    async def expire_held(self) -> None:
+        """Believe the store again where nobody wrote again after its return."""
+        now = self._clock()
+        if names := self._held_servers.take_expired(now):
+            for name in names:
+                self._removed_by_id.pop(name, None)
+                if name in self._entries_by_id:
+                    self._entries_by_id[name].era = self.servers.position.era
+            self._servers_changed(names)
+        if names := self._held_members.take_expired(now):
+            self._members_changed(names)
+        if names := self._held_domains.take_expired(now):
+            self._evacuations_changed(names)
+
+    def registered_member(self, name: str) -> EntryMember | None:
+        """Return the entry VM as it is registered in the store now, if it is."""
+        document = self.members.documents_by_name.get(name)
+        if document is None:
+            return None
+        return self._member(name, document)
 
     def _make_replica(
         self,
@@ -338,14 +379,29 @@
         ).info('desired state in force')
         self._notify_changed()
 
+    def _is_return(self, replica: Replica) -> bool:
+        """Return whether this is the replica's first change since the store is back."""
+        era = replica.position.era
+        previous = self._era_by_kind.get(replica.kind, era)
+        self._era_by_kind[replica.kind] = era
+        return era != previous
+
     def _servers_changed(self, names: Iterable[str]) -> None:
+        names = set(names)
+        is_return = self._is_return(self.servers)
+        if is_return:
+            names |= self._held_servers.take_all()
         for name in names:
             entry = self._entries_by_id.get(name)
             document = self.servers.documents_by_name.get(name)
             if document is None:
-                self._mark_lapsed(entry)
+                self._held_servers.release(name)
+                self._mark_lapsed(entry, may_return=is_return)
             else:
                 self._register(document, entry)
+        if is_return:
+            for name in self._entries_by_id.keys() - names:
+                self._entries_by_id[name].era = self.servers.position.era
         self._notify_changed()
 
     def _register(self, document: StoredDocument, entry: _ServerEntry | None) -> None:
@@ -357,6 +413,8 @@
             )
             self._mark_lapsed(entry)
             return
+        if self._is_superseded(server, entry):
+            return
         now = self._clock()
         is_same = entry is not None and (
             _incarnation(entry.server) == _incarnation(server)
@@ -364,29 +422,54 @@
         if entry is None or not is_same:
             if entry is not None:
                 self._remove(entry)
-            entry = _ServerEntry(server, ServerStats(slots=server.slots))
+            entry = _ServerEntry(server, ServerStats(slots=server.slots), era=0)
             self._entries_by_id[server.id] = entry
             self._entries_by_incarnation[server.incarnation_id] = entry
         elif entry.server.leaving and not server.leaving:
             logger.bind(server=server.id).warning('server is no longer leaving')
         _log_registration(entry, server)
         entry.server = server
+        entry.era = self.servers.position.era
         entry.lapses_at = None
+        self._removed_by_id.pop(server.id, None)
         if server.cold_seconds > 0.0:
             cold_until = now + server.cold_seconds
             entry.stats.cold_until = max(entry.stats.cold_until, cold_until)
         self._update_placer(entry)
 
-    def _mark_lapsed(self, entry: _ServerEntry | None) -> None:
+    def _is_superseded(
+        self, server: RegisteredServer, entry: _ServerEntry | None
+    ) -> bool:
+        """Return whether a return of the store has brought the registration back."""
+        era = self.servers.position.era
+        known = entry or self._removed_by_id.get(server.id)
+        if known is None or known.era == era or not is_superseded(server, known.server):
+            self._held_servers.release(server.id)
+            return False
+        if server.id not in self._held_servers:
+            self._held_servers.hold(server.id, self._clock())
+        logger.bind(
+            server=server.id,
+            era=era,
+            sequence=server.sequence,
+            known_sequence=known.server.sequence,
+        ).info('server registration ignored: the server has replaced it already')
+        return True
+
+    def _mark_lapsed(
+        self, entry: _ServerEntry | None, *, may_return: bool = False
+    ) -> None:
         if entry is None or entry.lapses_at is not None:
             return
         entry.lapses_at = self._clock()
-        if not entry.server.leaving:
+        if may_return or not entry.server.leaving:
             entry.lapses_at += LAPSE_GRACE_SECONDS
         logger.bind(server=entry.server.id).info('registration lapsed')
 
     def _remove(self, entry: _ServerEntry) -> None:
         self._entries_by_id.pop(entry.server.id, None)
+        entry.removed_at = self._clock()
+        self._removed_by_id[entry.server.id] = entry
         incarnation_id = entry.server.incarnation_id
         self._entries_by_incarnation.pop(incarnation_id, None)
         self.limit_notices.discard(incarnation_id)
@@ -399,26 +482,35 @@
             callback(entry.server)
 
     def _evacuations_changed(self, names: Iterable[str]) -> None:
-        domains = frozenset(self.evacuations.documents_by_name)
-        logger.bind(domains=sorted(domains), at=self.evacuations.revision).info(
-            'evacuated failure domains changed'
-        )
+        stored = frozenset(self.evacuations.documents_by_name)
+        if self._is_return(self.evacuations):
+            for domain in self.evacuated_domains - stored:
+                self._held_domains.hold(domain, self._clock())
+        for domain in stored:
+            self._held_domains.release(domain)
+        domains = stored.union(self._held_domains)
+        logger.bind(
+            domains=sorted(domains),
+            held=sorted(self._held_domains),
+            at=self.evacuations.revision,
+        ).info('evacuated failure domains changed')
         self.evacuated_domains = domains
         self._placers_by_service.clear()
         self._notify_changed()
 
     def _members_changed(self, names: Iterable[str]) -> None:
+        is_return = self._is_return(self.members)
         for name in names:
             document = self.members.documents_by_name.get(name)
             if document is None:
-                self.members_by_name.pop(name, None)
+                self._forget_member(name, may_return=is_return)
                 continue
-            try:
-                member = self._codec.member(name, document.body)
-            except DocumentError as error:
-                logger.bind(member=name).warning(
-                    'cannot decode entry VM registration, ignored: {}', error
-                )
+            member = self._member(name, document)
+            if member is None:
+                continue
+            self._held_members.release(name)
+            known = self.members_by_name.get(name)
+            if is_return and known and member.incarnation < known.incarnation:
                 continue
             self.members_by_name[name] = member
         self.member_names = tuple(sorted(self.members_by_name))
@@ -426,6 +518,22 @@
             {each.name: each.region for each in self.members_by_name.values()}
         )
 
+    def _forget_member(self, name: str, *, may_return: bool) -> None:
+        if may_return and name in self.members_by_name:
+            self._held_members.hold(name, self._clock())
+            return
+        self._held_members.release(name)
+        self.members_by_name.pop(name, None)
+
+    def _member(self, name: str, document: StoredDocument) -> EntryMember | None:
+        try:
+            return self._codec.member(name, document.body)
+        except DocumentError as error:
+            logger.bind(member=name).warning(
+                'cannot decode entry VM registration, ignored: {}', error
+            )
+            return None
+
 
 def _incarnation(server: RegisteredServer) -> tuple[int, str, int, str]:
     return (server.started_at_ms, server.host, server.port, server.service)
--- a/packages/daisylift-node/src/daisylift_node/version/replica.py
+++ b/packages/daisylift-node/src/daisylift_node/version/replica.py
@@ -46,7 +46,8 @@
 class Replica:
     """The objects of one kind, by name.
 
-    The listener is called with the names of the objects that changed or were deleted.
+    The listener is called with the names of the objects that changed or were deleted,
+    and with none at the first listing of an era in which nothing did.
     If ``is_store_reachable`` is given, another kind probes the store while it is
     unreachable; the function returns whether the store responds to that kind.
     """
@@ -206,7 +207,7 @@
             source=source,
             changes=len(names),
         ).info('objects listed')
-        if names:
+        if names or previous.era != listing.era:
             self._listener(names)
         return True
 
--- a/packages/daisylift/src/daisylift/models/registered_server.py
+++ b/packages/daisylift/src/daisylift/models/registered_server.py
@@ -11,7 +11,8 @@
 
     ``cold_seconds`` is for how much longer the server is slow, counted from the time
     the registration was read. ``started_at_ms`` distinguishes incarnations under the
-    same id (Unix time in milliseconds by the server's own clock).
+    same id (Unix time in milliseconds by the server's own clock). ``sequence`` counts
+    the registrations of an incarnation; 0 if the server does not say.
     """
 
     id: str
@@ -23,6 +24,7 @@
     leaving: bool
     cold_seconds: float
     started_at_ms: int
+    sequence: int = 0
 
     @property
     def incarnation_id(self) -> int:
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -102,6 +102,7 @@
     store: FakePlatform = field(default_factory=FakePlatform)
     name: str = 'entry-1'
     grace_seconds: float = 0.5
+    heartbeat_ms: float = 1500.0
     application: EntryApplication | None = None
     caller: aiohttp.ClientSession | None = None
     owns_store: bool = True
@@ -125,7 +126,10 @@
                     'metrics_port': METRICS_PORT,
                 },
                 'peer': {'port': PEER_PORT},
-                'store': {'address': f'127.0.0.1:{self.store.port}'},
+                'store': {
+                    'address': f'127.0.0.1:{self.store.port}',
+                    'heartbeat_ms': self.heartbeat_ms,
+                },
                 'domains': {'arusha-a': 'arusha', 'dar-a': 'dar'},
                 'limits': {'memory_mb': 300, 'file_descriptors': 4000},
                 'bounds': {'grace_s': self.grace_seconds},
--- a/tests/test_gossip_codec.py
+++ b/tests/test_gossip_codec.py
@@ -116,3 +116,10 @@
     per_second = DATAGRAMS_PER_SECOND * (len(gossip) + UDP_HEADER_BYTES)
     per_second += LIMIT_DATAGRAMS_PER_SECOND * (len(limits) + UDP_HEADER_BYTES)
     assert per_second < TARGET_BYTES_PER_SECOND
+
+
+def test_eras_follow_the_revisions_and_are_absent_from_older_nodes() -> None:
+    gossip = decode(encode([], [4, 3, 2, 1], eras=[2, 2, 1, 2]), {})
+    assert (gossip.revisions, gossip.eras) == ((4, 3, 2, 1), (2, 2, 1, 2))
+    gossip = decode(encode([], [4, 3, 2, 1]), {})
+    assert (gossip.revisions, gossip.eras) == ((4, 3, 2, 1), ())
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -440,3 +440,14 @@
     await asyncio.sleep(bound_seconds)
     assert all(each.is_connected for each in view.replicas_by_kind.values())
     await task
+
+
+async def test_store_that_never_has_the_history_is_not_called_in_a_loop(
+    store: MemoryStore,
+) -> None:
+    """Each listing is followed by a watch that is refused."""
+    store.write('i-1')
+    store.history_from = store.revision + 1
+    async with Followed(store):
+        await asyncio.sleep(0.5)
+        assert store.lists <= 12
