Believe a refusal only if it names its request, and promise no more than the server

A refusal that names another request was not believed before, but one without an id was: the request, which may not be repeated, ran at a second server as well. And a 503 or 429 without Not-Executed went to the caller as it was, where it promises that the request did not run.

A refusal without the id of the request now counts as no answer of it and ends the connection; a 408, 421, 429 or 503 that does not say that the request has not run becomes a 502 where the request can't be sent again.

tests/test_entry_retries.py, five kinds of repeated refusal: unnamed (requests 2 and 1 instead of 2 and 0), and both unstated (503 instead of 502) failed before; the two that name the earlier request passed before as well.

--- a/packages/daisylift-node/src/daisylift_node/request/steered_call.py
+++ b/packages/daisylift-node/src/daisylift_node/request/steered_call.py
@@ -44,8 +44,13 @@
         return self.arrived_at + self.route.target_seconds
 
     def may_own(self, metadata: ResponseMetadata) -> bool:
-        """Return whether the response may belong to this request, not to another."""
-        return not self.request_id or metadata.request_id in (None, self.request_id)
+        """Return whether the response may belong to this request, not to another.
+
+        A refusal must name its request: it may be an earlier one, written once more.
+        """
+        if not self.request_id or metadata.request_id == self.request_id:
+            return True
+        return metadata.request_id is None and not metadata.was_not_run
 
     def surely_owns(self, response: ServerResponse, metadata: ResponseMetadata) -> bool:
         """Return whether the response certainly belongs to this request."""
--- a/packages/daisylift-node/src/daisylift_node/request/steering.py
+++ b/packages/daisylift-node/src/daisylift_node/request/steering.py
@@ -45,6 +45,8 @@
 
 MIN_REMAINING_SECONDS = 0.02  # with less time remaining, a request is not sent
 MAX_UNREACHABLE_SERVERS = 4  # unreachable servers per request before it is refused
+# To callers these statuses promise that the request did not run.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 RESPONSE_SOURCE = 'response'
 ABANDONED_TIMEOUT_SECONDS = 10.0  # then an abandoned request's connection is closed
 
@@ -331,12 +333,13 @@
         answered = None
         if response and metadata and call.surely_owns(response, metadata):
             answered = Answered(response, placement.server.id)
-        if answered and answered.response.status < SERVER_ERROR:
+        is_promise = answered and answered.response.status in NOT_RUN_STATUSES
+        if answered and not is_promise and answered.response.status < SERVER_ERROR:
             self._poison_requests.record_response(call.digest)
             return answered
         if call.route.kind.is_idempotent and self._may_send_again(call):
             return None
-        if answered:
+        if answered and not is_promise:
             return answered
         timed_out = self._clock() >= call.deadline_at - MIN_REMAINING_SECONDS
         return Failed(Reason.TIMED_OUT if timed_out else Reason.ANSWER_LOST)
--- a/tests/test_entry_retries.py
+++ b/tests/test_entry_retries.py
@@ -92,6 +92,40 @@
         assert len(first.requests) + len(second.requests) == 1
 
 
+@pytest.mark.parametrize(
+    'repeated',
+    [
+        SHED,
+        http_response(b'', 'r-1', '429 Too Many Requests', ('Not-Executed: 1',)),
+        b'HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n'
+        b'Content-Length: 0\r\n\r\n',
+        b'HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n',
+        http_response(b'', 'r-2', '503 Service Unavailable'),
+    ],
+    ids=['named', 'named 429', 'unnamed', 'unstated', 'unstated, named'],
+)
+async def test_an_earlier_refusal_written_again_promises_nothing(
+    repeated: bytes,
+) -> None:
+    """A faulty server repeats it on a kept connection while it runs the request."""
+    async with (
+        ScriptedServer([Script(SHED), Script(repeated, after_seconds=0.5)]) as faulty,
+        ScriptedServer([Script(COMPLETE)]) as other,
+        EntryHarness() as harness,
+    ):
+        await harness.configure(1, make_rule('/x/', 'till', 'unsafe', attempts=3))
+        await harness.register(i_1=make_registration(faulty, 'till'))
+        assert (await harness.send('POST', data=b'pay')).status == 503
+        second = asyncio.create_task(
+            harness.send('POST', data=b'pay', headers={'Request-Id': 'r-2'})
+        )
+        await asyncio.sleep(0.1)
+        await harness.register(i_2=make_registration(other, 'till'))
+        assert (await second).status == 502
+        assert faulty.connections == 1
+        assert (len(faulty.requests), len(other.requests)) == (2, 0)
+
+
 async def test_a_server_whose_address_was_reassigned_is_excluded() -> None:
     """Otherwise each request would use up one of its few attempts on that server."""
     async with (
