Pass on no request late in a planned stop that the end could cut off

A request whose body came late in the grace period was passed on and then cut with no answer when the period ended, if its time limit was after that; with a grace period of 10 s, as on the large deployment, new requests were passed on until 5 s after the signal, though only those sent until 3 s may be cut at all.

From 3 s after the signal (half of a shorter grace period) a request is sent to a server only if its time limit ends before the process does; others are refused at once, with Retry-After and Connection: close.

tests/test_entry_stop.py: the request with a time limit after the end got 200 from a server that had been sent it late; with the fix it is refused and the server gets nothing, and the one with a short time limit is served.

--- a/packages/daisylift-node/src/daisylift_node/process/entry_application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_application.py
@@ -56,6 +56,7 @@
 LISTEN_BACKLOG = 1024
 BYTES_PER_MB = 1024 * 1024
 STOP_ACCEPT_SHARE = 0.5  # of the grace period; callers know other VMs by then
+LAST_PASS_SECONDS = 3.0  # after SIGTERM; later requests must end before the process
 STOP_MARGIN_SECONDS = 0.4  # end of the grace period, reserved for the process exit
 STOP_POLL_SECONDS = 0.02
 SIDE_STOP_SECONDS = 0.05  # short, as responses come from memory
@@ -209,15 +210,17 @@
         started = self._clock()
         logger.bind(grace_seconds=grace).info('stopping')
         self.handler.is_stopping = True
+        ends_at = started + grace - STOP_MARGIN_SECONDS
+        accept_seconds = grace * STOP_ACCEPT_SHARE
+        self.steering.stop(started + min(accept_seconds, LAST_PASS_SECONDS), ends_at)
         self.peers.liveness.ready = False
         await self.peers.send_gossip()
-        await asyncio.sleep(grace * STOP_ACCEPT_SHARE)
+        await asyncio.sleep(accept_seconds)
         for listener in self._listeners:
             listener.close()
         # Close idle connections now: shutdown() alone would keep them open, and
         # accept requests on them, until the grace period ends.
         self._caller_server.pre_shutdown()
-        ends_at = started + grace - STOP_MARGIN_SECONDS
         transports = [
             connection.transport
             for connection in self._caller_server.connections
--- a/packages/daisylift-node/src/daisylift_node/request/steering.py
+++ b/packages/daisylift-node/src/daisylift_node/request/steering.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 from dataclasses import replace
@@ -77,6 +78,8 @@
         self._clock = clock
         self._estimates = WorkEstimates()
         self.queues_by_service: dict[str, WaitQueue] = {}
+        self._last_pass_at = math.inf
+        self._ends_at = math.inf
         view.on_change(self.wake_all)
 
     async def steer(self, call: SteeredCall) -> Outcome:
@@ -85,11 +88,16 @@
         while True:
             if call.deadline_at - self._clock() < MIN_REMAINING_SECONDS:
                 return _refused_or_failed(call, Reason.TIMED_OUT)
+            if self._would_be_cut_off(call):
+                return _refused_or_failed(call, Reason.STOPPING, 0.0)
             if self._poison_requests.is_blocked(call.digest):
                 return _refused_or_failed(call, Reason.BREAKS_SERVERS)
             placement = await self._place_or_wait(call)
             if not isinstance(placement, Placement):
                 return placement
+            if self._would_be_cut_off(call):
+                self._release(call.service, placement)
+                return _refused_or_failed(call, Reason.STOPPING, 0.0)
             try:
                 result = await self._send(call, placement)
             except UnsendableError as error:
@@ -100,6 +108,17 @@
                 return outcome
             self._metrics.count_retry(call.service, result.reason)
 
+    def stop(self, last_pass_at: float, ends_at: float) -> None:
+        """Pass on no request that the end of the process might cut off.
+
+        From ``last_pass_at`` on, a request is sent to a server only if its deadline is
+        not after ``ends_at``, both by the clock of this object.
+        """
+        self._last_pass_at, self._ends_at = last_pass_at, ends_at
+
+    def _would_be_cut_off(self, call: SteeredCall) -> bool:
+        return self._clock() >= self._last_pass_at and call.deadline_at > self._ends_at
+
     def wake_all(self) -> None:
         """Retry the placement of waiting requests after slots or servers changed."""
         now = self._clock()
--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from daisylift_node.process import entry_application
 from tests.entry_harness import EntryHarness, make_registration, make_rule
 from tests.fakes.scripted_server import Script, ScriptedServer, http_response
 
@@ -72,3 +73,33 @@
         await asyncio.sleep(0.05)
         for server in (application._caller_server, *application._side_servers):
             assert not server.connections
+
+
+@pytest.mark.parametrize(('deadline_ms', 'status'), [(1500, 503), (300, 200)])
+async def test_a_request_that_comes_late_in_a_stop_is_not_passed_on_and_cut_off(
+    monkeypatch: pytest.MonkeyPatch, deadline_ms: int, status: int
+) -> None:
+    """Its body arrives late; the server is still at work when the process ends."""
+    monkeypatch.setattr(entry_application, 'LAST_PASS_SECONDS', 0.2)
+    async with (
+        ScriptedServer([Script(RESPONSE)]) as server,
+        EntryHarness(grace_seconds=GRACE_SECONDS) as harness,
+    ):
+        rule = make_rule('/x/', 'catalogue', 'unsafe', timeout_ms=3000)
+        await harness.configure(1, rule)
+        await harness.register(i_1=make_registration(server))
+        assert harness.application is not None
+        address = harness.application.settings.listen.caller
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        writer.write(b'POST /x/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: 3\r\n')
+        await asyncio.sleep(0.05)
+        stopping = asyncio.create_task(harness.application.stop())
+        await asyncio.sleep(0.4)
+        head = f'Request-Id: r-1\r\nDeadline-Milliseconds: {deadline_ms}\r\n\r\npay'
+        writer.write(head.encode())
+        answer = await reader.read()
+        await stopping
+        assert answer.startswith(f'HTTP/1.1 {status} '.encode())
+        assert len(server.requests) == (status == 200)
+        assert (b'Retry-After' in answer) == (status == 503)
+        writer.close()
