--- a/tests/test_server_connection.py
+++ b/tests/test_server_connection.py
@@ -87,6 +87,16 @@
             await exchange_all(server)
 
 
+@pytest.mark.parametrize('reset', [False, True])
+async def test_an_answer_cut_off_anywhere_in_its_head_is_lost(reset: bool) -> None:
+    head_bytes = COMPLETE.index(b'\r\n\r\n') + 4
+    for length in range(head_bytes):
+        script = Script(COMPLETE[:length], close=True, reset=reset, late_seconds=0.0)
+        async with ScriptedServer([script]) as server:
+            with pytest.raises(ExchangeLostError):
+                await exchange_all(server)
+
+
 async def test_an_answer_without_length_ends_with_its_connection() -> None:
     script = Script(b'HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\n\r\nall of it', close=True)
     async with ScriptedServer([script]) as server:
