Let the store of the soak come back from an older copy

The store is away for up to 2 s and comes back from a copy up to 10 s older; operators write again at once, servers with their next heartbeat, expired registrations go after three, and a desired state follows. Servers of the stand-in count their registrations.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,7 +14,13 @@
 from soak.faults import inject
 from soak.fleet import DOMAINS, Fleet
 from soak.ledger import Ledger
-from soak.plan import FINAL_CALM_SECONDS, Fault, make_limit_plan, make_plan
+from soak.plan import (
+    FINAL_CALM_SECONDS,
+    Fault,
+    make_limit_plan,
+    make_plan,
+    make_return_plan,
+)
 
 FLAGS = flags.FLAGS
 MAX_FINDINGS_SHOWN = 10
@@ -32,6 +38,7 @@
         for number in range(callers):
             fleet.spawn(caller_group.call(domains[number % len(domains)]))
         plan = make_plan(seed, seconds) + make_limit_plan(seed, seconds)
+        plan += make_return_plan(seed, seconds)
         await _inject_faults(fleet, sorted(plan, key=lambda each: each.at), seconds)
         caller_group.is_stopping = True
         fleet.read_logs()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,7 +6,7 @@
 from typing import TypeVar
 
 from soak.fleet import DOMAINS, Fleet
-from soak.plan import ADD_VM_KIND, Fault
+from soak.plan import ADD_VM_KIND, RETURN_KIND, Fault
 from soak.proxy import FaultyLink
 from tests.fakes.platform_server import PlatformServer
 
@@ -14,6 +14,7 @@
 SLOW_LINK_SECONDS = 0.2
 REFUSED_STATUS = 429
 LOST_RESPONSES = 3
+MAX_COPY_SECONDS = 10.0  # age of the copy from which the store comes back
 MAX_LIMIT_PER_SECOND = 8.0
 LIMIT_FACTORS = {'keep': 1.0, 'raise': 2.0, 'lower': 0.4}
 PartT = TypeVar('PartT')
@@ -39,6 +40,9 @@
     if fault.kind == ADD_VM_KIND:
         await fleet.add_vm()
         return
+    if fault.kind == RETURN_KIND:
+        await _return_store(fleet, fault)
+        return
     if fault.kind in STORE_FAULTS:
         await _inject_store_fault(fleet, fault)
         return
@@ -95,6 +99,17 @@
     fleet.record_disturbance('store', start)
 
 
+async def _return_store(fleet: Fleet, fault: Fault) -> None:
+    start = fleet.now()
+    fleet.store.faults.reset = True
+    await asyncio.sleep(fault.duration_seconds)
+    fleet.store.faults.reset = False
+    copy_seconds = fault.duration_seconds + fault.target_fraction * MAX_COPY_SECONDS
+    fleet.spawn(fleet.restore_store(copy_seconds))
+    await asyncio.sleep(0.0)
+    fleet.record_disturbance('store', start)
+
+
 async def _inject_link_fault(
     fleet: Fleet, link: FaultyLink, component: str, link_fault: str, seconds: float
 ) -> None:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import random
 import signal
 import sys
 from collections.abc import Coroutine
@@ -46,6 +47,8 @@
 START_TIMEOUT_SECONDS = 15.0  # starts are slow on a busy machine
 POLL_PERIOD_SECONDS = 0.05
 DRAINING_SECONDS = 4.0  # how long a draining server still serves
+HEARTBEAT_SECONDS = 1.5  # interval in which a server writes its registration
+SILENT_HEARTBEATS = 3  # after so many without one, the store drops a registration
 DISTURBANCE_MARGIN_SECONDS = 0.5  # the effects of a disturbance may outlast it
 
 
@@ -89,6 +92,7 @@
     vms: list[EntryVm] = field(default_factory=list)
     servers_by_id: dict[str, PlatformServer] = field(default_factory=dict)
     links_by_id: dict[str, FaultyLink] = field(default_factory=dict)
+    state_by_server: dict[str, str] = field(default_factory=dict)
     network: str = field(default_factory=free_network)
     _server_numbers: itertools.count = field(default_factory=lambda: itertools.count(1))
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
@@ -183,7 +187,8 @@
         self.store.write('evacuations', domain, {})
         start = self.now()
         await asyncio.sleep(seconds)
-        self.store.remove('evacuations', domain)
+        if ('evacuations', domain) in self.store.objects:
+            self.store.remove('evacuations', domain)
         self.ledger.evacuations.append(ConfirmedChange(domain, start, self.now()))
 
     async def add_server(self, service: str, domain: str) -> PlatformServer:
@@ -201,6 +206,7 @@
     def register(self, server: PlatformServer, state: str = 'ready') -> None:
         """Write the server's registration."""
         port = self.links_by_id[server.id].port
+        self.state_by_server[server.id] = state
         self.store.write('servers', server.id, server.registration(port, state))
 
     async def replace_server(self, server: PlatformServer) -> None:
@@ -211,9 +217,50 @@
         self.register(server, 'draining')
         self.ledger.draining.append(ConfirmedChange(server.id, self.now()))
         await asyncio.sleep(DRAINING_SECONDS)
-        self.store.remove('servers', server.id)
+        self._remove_registration(server.id)
         await self.crash_server(server)
 
+    def _remove_registration(self, server_id: str) -> None:
+        self.state_by_server.pop(server_id, None)
+        if ('servers', server_id) in self.store.objects:
+            self.store.remove('servers', server_id)
+
+    async def restore_store(self, copy_seconds: float) -> None:
+        """Let the store come back from a copy of that age; all writers write again.
+
+        Operators write at once, servers with their next heartbeat. Registrations that
+        no server renews expire after three intervals.
+        """
+        before = dict(self.store.objects)
+        self.store.restore(self.store.revision_before(copy_seconds))
+        for (kind, name), stored in before.items():
+            is_lost = self.store.objects.get((kind, name)) != stored
+            if is_lost and kind in ('config', 'evacuations'):
+                self.store.write(kind, name, stored['specification'])
+        for kind, name in list(self.store.objects):
+            if kind == 'evacuations' and (kind, name) not in before:
+                self.store.remove(kind, name)
+        for server_id in list(self.state_by_server):
+            phase = random.Random(server_id).random()
+            self.spawn(self._register_again(server_id, phase * HEARTBEAT_SECONDS))
+        await asyncio.sleep(SILENT_HEARTBEATS * HEARTBEAT_SECONDS)
+        for kind, name in list(self.store.objects):
+            if kind == 'servers' and name not in self.state_by_server:
+                self.store.remove(kind, name)
+
+    async def _register_again(self, server_id: str, delay_seconds: float) -> None:
+        await asyncio.sleep(delay_seconds)
+        server, state = (
+            self.servers_by_id[server_id],
+            self.state_by_server.get(server_id),
+        )
+        stored = self.store.objects.get(('servers', server_id))
+        written = stored['specification'] if stored else {}
+        # The store ignores a registration in which only the sequence differs.
+        is_lost = (written.get('state'), written.get('born')) != (state, server.born)
+        if server.is_up and state is not None and is_lost:
+            self.register(server, state)
+
     async def crash_server(self, server: PlatformServer) -> None:
         """Stop a server immediately; its limit ends with it."""
         if server.limit_per_second is not None:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -26,6 +26,9 @@
 )
 LIMIT_KINDS = ('limit_keep', 'limit_raise', 'limit_lower')
 ADD_VM_KIND = 'add_vm'
+RETURN_KIND = 'store_return'
+MAX_RETURNS = 2
+MAX_AWAY_SECONDS = 2.0
 MIN_GAP_SECONDS = 0.1
 MAX_GAP_SECONDS = 1.2
 MIN_DURATION_SECONDS = 0.3
@@ -86,3 +89,20 @@
         faults.append(Fault(rng.choice(LIMIT_KINDS), at, duration, rng.random()))
         at += rng.uniform(0.0, MAX_LIMIT_GAP_SECONDS)
     return sorted(faults, key=lambda fault: fault.at)
+
+
+def make_return_plan(seed: int, seconds: float) -> list[Fault]:
+    """Return the returns of the store from an older copy, each with a change after it.
+
+    They are drawn apart from the other faults, which so stay the same for a seed.
+    """
+    rng = random.Random(f'returns/{seed}')
+    latest = seconds - 2.0 * FINAL_CALM_SECONDS - MAX_AWAY_SECONDS
+    faults = []
+    for _ in range(rng.randint(0, MAX_RETURNS)):
+        at = rng.uniform(min(PLANNED_SHARE * seconds, latest), latest)
+        away_seconds = rng.uniform(MIN_DURATION_SECONDS, MAX_AWAY_SECONDS)
+        faults.append(Fault(RETURN_KIND, at, away_seconds, rng.random()))
+        changed_at = at + away_seconds + rng.uniform(0.0, MAX_GAP_SECONDS)
+        faults.append(Fault('configure', changed_at, 0.0, 0.0))
+    return faults
--- a/tests/fakes/platform_server.py
+++ b/tests/fakes/platform_server.py
@@ -69,6 +69,7 @@
     arrivals: list[ServerArrival] = field(default_factory=list)
     port: int = 0
     born: int = 1
+    _registrations: int = 0
     _running: int = 0
     _waiting: int = 0
     _free: asyncio.Semaphore = field(default_factory=lambda: asyncio.Semaphore(0))
@@ -107,7 +108,8 @@
         return self._server is not None
 
     def registration(self, port: int, state: str = 'ready') -> dict[str, Any]:
-        """Return the server's registration document, with ``port`` in its address."""
+        """Return the server's next registration, with ``port`` in its address."""
+        self._registrations += 1
         return {
             'service': self.service,
             'address': f'127.0.0.1:{port}',
@@ -116,7 +118,7 @@
             'slots': self.slots,
             'state': state,
             'cold_remaining_ms': 0,
-            'sequence': 1,
+            'sequence': self._registrations,
             'born': self.born,
         }
 
