Write changes and claims of the own interface again after the store lost them

After a return, changes that operators had been told are in force were missing in the log, so that a node started later did not have them; an ordinal that a node used was free in the store for another; a watch at a revision of the era before waited for up to 20 s, and after 410 it was repeated without reading the log; records could be taken for older than they are.

Watching nodes append the changes again that they hold and the log lacks (operation ids make it one change). The holder of an ordinal writes its claim again, or gives the ordinal up if another took it. After a failed watch the log is read before the next one. Ages of records start anew with the era.

--- a/packages/daisylift-node/src/daisylift_node/process/ordinals.py
+++ b/packages/daisylift-node/src/daisylift_node/process/ordinals.py
@@ -25,6 +25,7 @@
 from daisylift_node.process.permits import PermitPool
 from daisylift_node.process.platform import (
     Conflict,
+    Missing,
     PlatformClient,
     PlatformFailure,
     StoredObject,
@@ -71,9 +72,16 @@
         self._take: Take | None = None
         self._taken_at = 0.0
         self._is_stopping = False
+        self._era = 0
 
     async def refresh(self) -> None:
-        """Take the next step towards holding an ordinal, unless this VM has one."""
+        """Take the next step towards holding an ordinal, unless this VM has one.
+
+        A claim that the store lost, when it came back from an older copy, is written
+        again.
+        """
+        if self.own is not None and self._platform.era != self._era:
+            await self._restore_claim(self.own)
         if self.own is not None or self._is_stopping:
             return
         if not self._follower.current.policy.roster:
@@ -193,8 +201,42 @@
         if predecessor is not None and self._take.is_fenced:
             self._permits.lender.inherit(predecessor, self._permits.now())
         self.own = claim
+        self._era = self._platform.era
         logger.info('now holds ordinal {}', claim.ordinal)
 
+    async def _restore_claim(self, claim: Claim) -> None:
+        era = self._platform.era
+        value = claim.model_dump(mode='json')
+        match await self._platform.get(CLAIM_KIND, str(claim.ordinal)):
+            case Success(stored):
+                record = parse_claim(stored)
+                version = stored.version
+            case Failure(Missing()):
+                record, version = None, 0
+            case Failure():
+                return  # the next refresh tries again
+        if record is not None and stored.value != value and record.epoch >= claim.epoch:
+            logger.error(
+                'ordinal {} lost: the store came back without the claim, and another '
+                'VM has taken it',
+                claim.ordinal,
+            )
+            self._permits.drop_ordinal()
+            self.own = self._written_claim = self._take = None
+            return
+        if version == 0 or stored.value != value:
+            result = await self._write(claim, version)
+            logger.warning(
+                'claim of ordinal {} written again, as the store came back without it: '
+                '{}',
+                claim.ordinal,
+                result,
+            )
+            if isinstance(result, Failure):
+                return
+            version = result.unwrap().version
+        self._stored_version, self._era = version, era
+
     def _predecessor_until(self) -> dict[str, float]:
         """Return until when a predecessor's requests may run, by service."""
         if self._take is None or self._take.is_fenced:
--- a/packages/daisylift-node/src/daisylift_node/process/platform.py
+++ b/packages/daisylift-node/src/daisylift_node/process/platform.py
@@ -15,6 +15,7 @@
     ConflictError,
     DocumentChange,
     DocumentListing,
+    HistoryGoneError,
     NotExecutedError,
     NotFoundError,
     StoredDocument,
@@ -39,10 +40,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Listing:
-    """The objects of a kind at one revision of the store."""
+    """The objects of a kind at one revision of the store, in the store's era."""
 
     revision: int
     objects: tuple[StoredObject, ...]
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,6 +91,13 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class HistoryGone:
+    """The platform no longer has the changes since the revision of a watch."""
+
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class Uncertain:
     """The response was lost; a write may have taken effect."""
@@ -96,7 +105,7 @@
     reason: str
 
 
-PlatformFailure = Conflict | Missing | Unavailable | Uncertain
+PlatformFailure = Conflict | Missing | Unavailable | HistoryGone | Uncertain
 JsonValue = Any
 
 
@@ -121,6 +130,11 @@
         if self._session is not None:
             await self._session.close()
 
+    @property
+    def era(self) -> int:
+        """The era of the store: it increases when the store is back from a copy."""
+        return self._store.era
+
     async def get(self, kind: str, name: str) -> Result[StoredObject, PlatformFailure]:
         """Read one object."""
         return await self._call(
@@ -229,6 +243,8 @@
         return Conflict(None if current is None else _stored_object(kind, current))
     if isinstance(error, NotFoundError):
         return Missing()
+    if isinstance(error, HistoryGoneError):
+        return HistoryGone(reason=str(error))
     if isinstance(error, NotExecutedError):
         return Unavailable(reason=str(error))
     return Uncertain(reason=str(error))
@@ -242,6 +258,7 @@
     return Listing(
         revision=listing.revision,
         objects=tuple(_stored_object(kind, each) for each in listing.documents),
+        era=listing.era,
     )
 
 
--- a/packages/daisylift-node/src/daisylift_node/process/record_sweep.py
+++ b/packages/daisylift-node/src/daisylift_node/process/record_sweep.py
@@ -72,7 +72,7 @@
         if isinstance(listing, Failure):
             return
         page = listing.unwrap()
-        self._ages.record(page.revision, self._clock())
+        self._ages.record(page.revision, self._clock(), page.era)
         in_share = [record for record in page.objects if record.name <= share.end]
         expired = [record for record in in_share if self._is_expired(record)]
         chosen = expired[: max_deletes(len(self._ordinals))]
--- a/packages/daisylift-node/src/daisylift_node/version/change_log.py
+++ b/packages/daisylift-node/src/daisylift_node/version/change_log.py
@@ -28,6 +28,7 @@
 
     def __init__(self, platform: PlatformClient) -> None:
         self._platform = platform
+        self.revision = 0  # of the store, at the last complete read
 
     async def append(self, change: Change) -> Result[Change, PlatformFailure]:
         """Create the change under its version.
@@ -53,14 +54,18 @@
     ) -> Result[tuple[Change, ...], PlatformFailure]:
         """Return the changes after the version, in the order of versions."""
         changes: list[Change] = []
+        revision: int | None = None
         after = change_name(version)
         while True:
             page = await self._platform.list(KIND, after=after, limit=PAGE_SIZE)
             if isinstance(page, Failure):
                 return page
             objects = page.unwrap().objects
+            if revision is None:
+                revision = page.unwrap().revision
             changes.extend(parsed for o in objects if (parsed := parse_change(o)))
             if len(objects) < PAGE_SIZE:
+                self.revision = revision
                 return Success(tuple(changes))
             after = objects[-1].name
 
--- a/packages/daisylift-node/src/daisylift_node/version/configuration.py
+++ b/packages/daisylift-node/src/daisylift_node/version/configuration.py
@@ -1,6 +1,7 @@
 """Follows the configuration: versions only increase, and listeners get each of them."""
 
 import asyncio
+from collections import deque
 from collections.abc import Callable, Iterable
 
 from loguru import logger
@@ -10,13 +11,14 @@
 from daisylift.errors import PolicyError
 from daisylift.models import Change
 from daisylift_node.process.metrics import Metrics
-from daisylift_node.process.platform import PlatformClient
+from daisylift_node.process.platform import Conflict, HistoryGone, PlatformClient
 from daisylift_node.version.change_log import KIND, ChangeLog
 
 WATCH_SECONDS = 20.0
 FOLLOWER_POLL_SECONDS = 1.0
 FALLBACK_READ_SECONDS = 600.0
 RETRY_SECONDS = 0.5
+MAX_REWRITTEN_CHANGES = 256  # the store loses the changes of a few seconds at most
 
 Listener = Callable[[Configuration], None]
 ChangeListener = Callable[[Configuration, Change | None], None]
@@ -38,6 +40,9 @@
         self._change_listeners: list[ChangeListener] = []
         self._task: asyncio.Task[None] | None = None
         self._read_at = float('-inf')
+        self._era = 0
+        self._must_read = False
+        self._recent: deque[Change] = deque(maxlen=MAX_REWRITTEN_CHANGES)
         self.is_watcher: Callable[[], bool] = lambda: True
 
     def subscribe(self, listener: Listener) -> None:
@@ -53,7 +58,8 @@
 
     async def start(self) -> None:
         """Read the change log once, then follow it in the background."""
-        await self.catch_up()
+        if await self.catch_up():
+            self._era = self._platform.era
         self._task = asyncio.create_task(self._follow())
 
     async def stop(self) -> None:
@@ -98,6 +104,7 @@
                     error,
                 )
                 break
+            self._recent.append(change)
             for listener in self._change_listeners:
                 _notify(listener, previous, change)
             self._announce()
@@ -124,14 +131,64 @@
         if not self.is_watcher():
             await self._wait_as_follower()
             return revision
+        if self._must_read or self._platform.era != self._era:
+            if not await self._read_again():
+                await asyncio.sleep(RETRY_SECONDS)
+                return revision
+            revision = self.log.revision
         batch = await self._platform.watch(KIND, revision, WATCH_SECONDS)
         match batch:
-            case Success(found):
+            case Success(found) if self._platform.era == self._era:
                 if not found.events or await self.catch_up():
                     return found.revision
-        await asyncio.sleep(RETRY_SECONDS)
+            case Failure(failure) if not isinstance(failure, HistoryGone):
+                await asyncio.sleep(RETRY_SECONDS)
+        self._must_read = True
         return revision
 
+    async def _read_again(self) -> bool:
+        """Read the log, which a watch does not replace after a failure.
+
+        A list is answered at once, and its response names the store's era; a watch
+        would wait at a revision that may be of the era before.
+        """
+        self._must_read = True
+        if not await self.catch_up():
+            return False
+        era = self._platform.era
+        if era != self._era and not await self._write_again():
+            return False
+        self._era, self._must_read = era, False
+        return True
+
+    async def _write_again(self) -> bool:
+        """Append the recent changes that the store lost when it came back from a copy.
+
+        Return False if the log could not be read or written.
+        """
+        recent = tuple(self._recent)
+        if not recent:
+            return await self.catch_up()
+        result = await self.log.read_after(recent[0].version - 1)
+        if isinstance(result, Failure):
+            return False
+        stored = {change.version for change in result.unwrap()}
+        for change in recent:
+            if change.version in stored:
+                continue
+            match await self.log.append(change):
+                case Success():
+                    logger.bind(version=change.version).warning(
+                        'change written again: the store came back without it'
+                    )
+                case Failure(Conflict()):
+                    logger.bind(version=change.version).error(
+                        'change lost: the store came back without it and has another'
+                    )
+                case Failure():
+                    return False
+        return await self.catch_up()
+
     async def _wait_as_follower(self) -> None:
         """Wait for changes from peers.
 
--- a/packages/daisylift/src/daisylift/decisions/record_expiry.py
+++ b/packages/daisylift/src/daisylift/decisions/record_expiry.py
@@ -25,9 +25,17 @@
     def __init__(self) -> None:
         self._samples: deque[tuple[float, int]] = deque()
         self._old = 0
+        self._era = 0
 
-    def record(self, revision: int, now: float) -> None:
-        """Record the current revision of the store."""
+    def record(self, revision: int, now: float, era: int = 0) -> None:
+        """Record the current revision of the store.
+
+        In a new era of the store earlier samples say nothing: revisions are given out
+        again.
+        """
+        if era != self._era:
+            self._samples.clear()
+            self._old, self._era = 0, era
         if not self._samples or now - self._samples[-1][0] >= SAMPLE_SECONDS:
             self._samples.append((now, revision))
 
--- a/tests/test_record_sweep.py
+++ b/tests/test_record_sweep.py
@@ -89,3 +89,11 @@
     assert sorted(name[:2] for _, name in fake.objects) == ['33', 'ee']
     await platform.stop()
     await runner.cleanup()
+
+
+def test_revisions_of_the_era_before_do_not_show_the_age_of_a_record() -> None:
+    ages = RevisionAges()
+    ages.record(900, 0.0, era=1)
+    ages.record(400, 60.0, era=2)
+    assert ages.old_revision(MIN_RETENTION_SECONDS + 1.0) == 0
+    assert ages.old_revision(MIN_RETENTION_SECONDS + 61.0) == 400
