--- a/tests/test_entry_config.py
+++ b/tests/test_entry_config.py
@@ -28,6 +28,7 @@
     'limits.link_mbps': '1000.0',
     'limits.cores': '1',
     'limits.cpu_share': '0.86',
+    'heartbeat_ms': '2000',
 }
 TABLES = {
     'zones': {'arusha-a': 'arusha', 'Dar-A': 'dar'},
@@ -35,9 +36,14 @@
 }
 
 
-def rendered() -> str:
+OPTIONAL_SECTION = re.compile(
+    r'\{\{#heartbeat_ms\}\}\n(.*?)\{\{/heartbeat_ms\}\}\n', re.S
+)
+
+
+def rendered(has_heartbeat: bool = True) -> str:
     """Render the template as the platform does."""
-    text = TEMPLATE.read_text()
+    text = OPTIONAL_SECTION.sub(r'\1' if has_heartbeat else '', TEMPLATE.read_text())
     for name, table in TABLES.items():
         section = re.compile(
             r'\{\{#' + name + r'\}\}\n(.*?)\{\{/' + name + r'\}\}\n', re.S
@@ -64,6 +70,12 @@
     assert settings.domains == {'arusha-a': 'arusha', 'Dar-A': 'dar'}
     assert settings.bounds.drain_ms == 2500.0
     assert settings.bounds.budget_extra_attempts == 50.0
+    assert settings.store.heartbeat_ms == 2000.0
+
+
+def test_platform_without_heartbeats_leaves_the_default(path: Path) -> None:
+    path.write_text(rendered(has_heartbeat=False))
+    assert load_entry_settings(path).store.heartbeat_ms == 1500.0
 
 
 @pytest.mark.parametrize(
@@ -75,6 +87,7 @@
         ('drain_ms = 2500', 'drain_ms = -1', 'bounds.drain_ms'),
         ('id = front-arusha-a-1', 'id =', 'vm.id'),
         ('[store]', '[shop]', 'store'),
+        ('heartbeat_ms = 2000', 'heartbeat_ms = 0', 'store.heartbeat_ms'),
     ],
 )
 def test_invalid_value_is_reported_with_its_key(
