--- a/packages/daisylift-node/src/daisylift_node/request/steering.py
+++ b/packages/daisylift-node/src/daisylift_node/request/steering.py
@@ -46,7 +46,8 @@
 
 MIN_REMAINING_SECONDS = 0.02  # with less time remaining, a request is not sent
 MAX_UNREACHABLE_SERVERS = 4  # unreachable servers per request before it is refused
-# To callers these statuses promise that the request did not run.
+# To callers these statuses promise that the request did not run, so they are passed on
+# only from a server that states this.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 RESPONSE_SOURCE = 'response'
 ABANDONED_TIMEOUT_SECONDS = 10.0  # then an abandoned request's connection is closed
@@ -350,15 +351,19 @@
             return _refused_or_failed(call, Reason.SHED, 0.0)
         call.may_have_run = True
         answered = None
-        if response and metadata and call.surely_owns(response, metadata):
+        if (
+            response
+            and metadata
+            and response.status not in NOT_RUN_STATUSES
+            and call.surely_owns(response, metadata)
+        ):
             answered = Answered(response, placement.server.id)
-        is_promise = answered and answered.response.status in NOT_RUN_STATUSES
-        if answered and not is_promise and answered.response.status < SERVER_ERROR:
+        if answered and answered.response.status < SERVER_ERROR:
             self._poison_requests.record_response(call.digest)
             return answered
         if call.route.kind.is_idempotent and self._may_send_again(call):
             return None
-        if answered and not is_promise:
+        if answered:
             return answered
         timed_out = self._clock() >= call.deadline_at - MIN_REMAINING_SECONDS
         return Failed(Reason.TIMED_OUT if timed_out else Reason.ANSWER_LOST)
--- a/packages/daisylift-node/src/daisylift_node/version/fleet_view.py
+++ b/packages/daisylift-node/src/daisylift_node/version/fleet_view.py
@@ -247,7 +247,7 @@
         }
 
     async def expire_held(self) -> None:
-        """Believe the store again where nobody wrote again after its return."""
+        """Apply what the store holds where the time to write again is over."""
         now = self._clock()
         if names := self._held_servers.take_expired(now):
             for name in names:
@@ -396,7 +396,7 @@
             document = self.servers.documents_by_name.get(name)
             if document is None:
                 self._held_servers.release(name)
-                self._mark_lapsed(entry, may_return=is_return)
+                self._mark_lapsed(entry, after_return=is_return)
             else:
                 self._register(document, entry)
         if is_return:
@@ -457,12 +457,12 @@
         return True
 
     def _mark_lapsed(
-        self, entry: _ServerEntry | None, *, may_return: bool = False
+        self, entry: _ServerEntry | None, *, after_return: bool = False
     ) -> None:
         if entry is None or entry.lapses_at is not None:
             return
         entry.lapses_at = self._clock()
-        if may_return or not entry.server.leaving:
+        if after_return or not entry.server.leaving:
             entry.lapses_at += LAPSE_GRACE_SECONDS
         logger.bind(server=entry.server.id).info('registration lapsed')
 
@@ -506,7 +506,7 @@
         for name in names:
             document = self.members.documents_by_name.get(name)
             if document is None:
-                self._forget_member(name, may_return=is_return)
+                self._forget_member(name, after_return=is_return)
                 continue
             member = self._member(name, document)
             if member is None:
@@ -521,8 +521,8 @@
             {each.name: each.region for each in self.members_by_name.values()}
         )
 
-    def _forget_member(self, name: str, *, may_return: bool) -> None:
-        if may_return and name in self.members_by_name:
+    def _forget_member(self, name: str, *, after_return: bool) -> None:
+        if after_return and name in self.members_by_name:
             self._held_members.hold(name, self._clock())
             return
         self._held_members.release(name)
--- a/packages/daisylift/src/daisylift/decisions/store_return.py
+++ b/packages/daisylift/src/daisylift/decisions/store_return.py
@@ -1,9 +1,9 @@
-"""Decides what to believe after the store came back from an older copy of itself.
+"""Decides what to apply after the store came back from an older copy of itself.
 
 Load pattern: a store that has lost the writes of its last seconds. Operators, backend
 servers and entry VMs write again what they wrote last, each at a time of its own; all
 VMs read the store at once. Until a writer had the time to do so, what was read before
-the return goes first: an object that is missing is kept, and one that its writer
+the return takes precedence: an object that is missing is kept, and one that its writer
 replaced before the return is ignored.
 """
 
