Read an era or a position of any length without an error

A number of thousands of digits raised ValueError out of the store's client and of the copies that peers fetch. Tests: five bad headers, and the era of a 503.

--- a/packages/daisylift-node/src/daisylift_node/platform/store.py
+++ b/packages/daisylift-node/src/daisylift_node/platform/store.py
@@ -203,7 +203,11 @@
 
 
 def _era(text: str) -> int:
-    return int(text) if text.isascii() and text.isdigit() else 0
+    """Return the era in the header, or 0 if it is absent or not a number."""
+    try:
+        return max(0, int(text))
+    except ValueError:
+        return 0
 
 
 def _read_response(call: str, status: int, text: bytes) -> dict[str, Any]:
--- a/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
+++ b/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
@@ -305,10 +305,11 @@
 
 
 def _read_position(query: Mapping[str, str]) -> Position | None:
-    era, since = query.get(ERA_QUERY, '0'), query.get(SINCE_QUERY, '')
-    if not since.isdecimal() or not era.isdecimal():
+    """Return the position that a peer has, or None if it has no copy."""
+    try:
+        return Position(int(query.get(ERA_QUERY, '0')), int(query[SINCE_QUERY]))
+    except (KeyError, ValueError):
         return None
-    return Position(int(era), int(since))
 
 
 def _read_copy(response: Any) -> DocumentListing | DocumentChanges:
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -133,3 +133,22 @@
         page = store_module._read_response('GET /servers', 200, answer)
         for item in store_module._field(page, 'items', list):
             store_module._document(item)
+
+
+@pytest.mark.parametrize('text', ['', 'x', '-3', '1.5', '9' * 5000])
+def test_an_era_that_is_not_a_number_is_unknown(text: str) -> None:
+    assert store_module._era(text) == 0
+
+
+async def test_the_era_of_any_response_is_known(
+    fake: FakePlatform, client: StoreClient
+) -> None:
+    returns = []
+    client.on_return(lambda: returns.append(client.era))
+    await client.list('servers')
+    assert (client.era, returns) == (1, [])
+    fake.restore(fake.revision)
+    fake.faults.status = 503
+    with pytest.raises(StoreError):
+        await client.list('servers')
+    assert (client.era, returns) == (2, [2])
