Fetch a peer's copy also when another peer is behind as well

Found by a trial while reading the diff: of four VMs, two don't reach the store and it comes back from an older copy. Callers of these two got 404 for an added route 1.5 s later, where the two with the store served it.

Cause: a VM that is behind fetches a peer's copy after 0.3 s, and a datagram of any peer that is not ahead set that time back to zero. Two VMs that are cut off tell each other their old position every 0.25 s. The time now runs until the awaited position is reached.

--- a/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
+++ b/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
@@ -82,7 +82,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._session: aiohttp.ClientSession | None = None
         self._runner: web.ServerRunner | None = None
-        self._behind_since_by_kind: dict[str, float] = {}
+        self._awaited_by_kind: dict[str, tuple[Position, float]] = {}
         self._fetches: dict[str, asyncio.Task[None]] = {}
         self._names_by_hash: dict[int, str] = {}
         self._members_at: Position | None = None
@@ -235,10 +235,13 @@
     ) -> None:
         """Fetch the peer's copy if the replica has stayed behind its position."""
         kind = replica.kind
+        awaited, since = self._awaited_by_kind.get(kind, (position, now))
+        if replica.is_loaded and awaited <= replica.position:
+            self._awaited_by_kind.pop(kind, None)
+            awaited, since = position, now
         if replica.is_loaded and position <= replica.position:
-            self._behind_since_by_kind.pop(kind, None)
-            return
-        since = self._behind_since_by_kind.setdefault(kind, now)
+            return  # a peer that is behind as well says nothing about the others
+        self._awaited_by_kind[kind] = (awaited, since)
         delay_seconds = FETCH_DELAY_SECONDS if self.watches_store() else 0.0
         if now - since >= delay_seconds and kind not in self._fetches:
             task = asyncio.create_task(self._fetch(replica, url))
@@ -267,7 +270,7 @@
         else:
             is_applied = replica.apply_listing(copy, url)
         if is_applied:
-            self._behind_since_by_kind.pop(replica.kind, None)
+            self._awaited_by_kind.pop(replica.kind, None)
             logger.bind(kind=replica.kind, at=replica.revision, peer=url).info(
                 'local copy updated from a peer'
             )
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -149,6 +149,32 @@
     assert await statuses(vms, '/y/1') == [NO_SERVER] * len(vms)
 
 
+async def test_two_vms_that_are_cut_off_do_not_keep_each_other_from_a_change(
+    store: FakePlatform,
+) -> None:
+    """Each hears from the other, too, that nothing has changed."""
+    async with AsyncExitStack() as stack:
+        vms = [
+            await stack.enter_async_context(
+                EntryHarness(store=store, name=f'entry-{number}', owns_store=False)
+            )
+            for number in (1, 2, 3, 4)
+        ]
+        write_state(store, 1, '/x/', '/gone/')
+        copied = store.revision
+        for version in (2, 3, 4):
+            write_state(store, version, '/x/')
+        await asyncio.sleep(0.7)
+        for vm in vms[:2]:
+            assert vm.application is not None
+            for task in vm.application._tasks:
+                task.cancel()
+        store.restore(copied)
+        write_state(store, 5, '/x/', '/y/')
+        await asyncio.sleep(APPLY_SECONDS)
+        assert await statuses(vms, '/y/1') == [NO_SERVER] * len(vms)
+
+
 async def test_changes_take_effect_after_each_of_several_returns(
     store: FakePlatform, vms: list[EntryHarness]
 ) -> None:
