--- a/review/lab/upstream.py
+++ b/review/lab/upstream.py
@@ -27,7 +27,7 @@
     """Runs requests, one at a time on each connection.
 
     A request for which ``is_poison`` returns True crashes the upstream: all of its
-    connections are reset, and it is back after DOWN_SECONDS, as a new incarnation.
+    connections end, and it is back after DOWN_SECONDS, as a new incarnation.
     """
 
     id: str
@@ -59,7 +59,7 @@
         self.on_start(self)
 
     async def stop(self) -> None:
-        """End at once: stop listening and reset all connections."""
+        """End at once: stop listening and close all connections."""
         if self._server is not None:
             self._server.close()
         for writer in list(self._writers):
