Log, count and restart endless tasks that end

Reports of libraries and of the event loop (exceptions in callbacks and in tasks that nobody awaits) go to the structured log too; they went to stderr as plain text before.

Ruled out: a done callback that only logs; the VM would go on without changes of the store.

--- a/packages/daisylift-node/src/daisylift_node/entry_core.py
+++ b/packages/daisylift-node/src/daisylift_node/entry_core.py
@@ -19,7 +19,7 @@
 from daisylift_node.errors import SettingsError
 from daisylift_node.process.bounded_lines import BoundedLines
 from daisylift_node.process.entry_application import EntryApplication
-from daisylift_node.process.logs import JsonLines
+from daisylift_node.process.logs import JsonLines, capture_library_logs
 from daisylift_node.status import ExitStatus
 
 SETTINGS_VARIABLE = 'DAISYLIFT_CONFIG'
@@ -50,6 +50,7 @@
     logger.remove()
     logger.configure(extra={'vm': settings.vm.id})
     logger.add(JsonLines(lines), level=settings.log.level)
+    capture_library_logs()
     gc.freeze()
     try:
         uvloop.run(_serve(settings, lines, path))
--- a/packages/daisylift-node/src/daisylift_node/process/entry_application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_application.py
@@ -38,6 +38,7 @@
     LIMITS_PERIOD_SECONDS,
     PeerExchange,
 )
+from daisylift_node.process.supervisor import TaskSupervisor
 from daisylift_node.process.timer import TimerService
 from daisylift_node.request.entry_handler import EntryHandler
 from daisylift_node.request.steering import Steering
@@ -157,7 +158,7 @@
         self._listeners: list[asyncio.Server] = []
         self._side_servers: list[web.Server] = []
         self._side_listeners: list[asyncio.Server] = []
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks = TaskSupervisor(self.metrics.count_task_restart)
 
     async def start(self) -> None:
         """Open the ports, follow the store and register this VM in it."""
@@ -183,8 +184,8 @@
             listener = await loop.create_server(server, host, port)
             self._side_listeners.append(listener)
         for replica in self.view.replicas_by_kind.values():
-            self._tasks.append(asyncio.create_task(replica.follow()))
-        self._tasks.append(asyncio.create_task(self._register()))
+            self._tasks.start(f'follow-{replica.kind}', replica.follow)
+        self._tasks.start('register', self._register)
         self.timer.subscribe(GOSSIP_PERIOD_SECONDS, self._gossip)
         self.timer.subscribe(LIMITS_PERIOD_SECONDS, self.peers.send_limits)
         self.timer.subscribe(WAKE_PERIOD_SECONDS, self._wake)
@@ -230,8 +231,7 @@
         await self._caller_server.shutdown(max(remaining_seconds, STOP_POLL_SECONDS))
         await self._wait_until_sent(transports, ends_at)
         await self._stop_side_servers()
-        for task in self._tasks:
-            task.cancel()
+        await self._tasks.stop()
         await self.timer.stop()
         await self.peers.stop()
         await self.store.stop()
--- a/packages/daisylift-node/src/daisylift_node/process/entry_metrics.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_metrics.py
@@ -68,6 +68,12 @@
             'from an older copy.',
             registry=self.registry,
         )
+        self._task_restarts = Counter(
+            'daisylift_task_restarts',
+            'Endless tasks of the process that ended and were run again.',
+            ('task',),
+            registry=self.registry,
+        )
         self.started_at = time.time()
 
     def record_request(
@@ -93,6 +99,10 @@
         """Count a request sent to a server that has named a request rate limit."""
         self._limited_sends.labels(service).inc()
 
+    def count_task_restart(self, task: str) -> None:
+        """Count a task that ended although it should not, and is run again."""
+        self._task_restarts.labels(task).inc()
+
     def set_lines_dropped(self, count: int) -> None:
         """Set the number of dropped log lines."""
         self._lines_dropped.set(count)
--- a/packages/daisylift-node/src/daisylift_node/process/logs.py
+++ b/packages/daisylift-node/src/daisylift_node/process/logs.py
@@ -1,6 +1,9 @@
 """Structured logs, as text or as JSON lines."""
 
 import json
+import logging
+import traceback
+from types import TracebackType
 from typing import TYPE_CHECKING, TextIO
 
 from loguru import logger
@@ -47,5 +50,25 @@
         }
         if record['exception'] is not None:
             line['exception'] = repr(record['exception'].value)
+            line['exception_at'] = _raised_at(record['exception'].traceback)
         self._stream.write(json.dumps(line, default=str) + '\n')
         self._stream.flush()
+
+
+class LibraryLogs(logging.Handler):
+    """Passes what libraries report through ``logging`` on to the structured log."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Log the record, with its exception if it has one."""
+        log = logger.bind(library=record.name).opt(exception=record.exc_info)
+        log.log(record.levelname, '{}', record.getMessage())
+
+
+def capture_library_logs() -> None:
+    """Log warnings and errors of libraries, such as those of the event loop."""
+    logging.basicConfig(handlers=[LibraryLogs()], level=logging.WARNING, force=True)
+
+
+def _raised_at(trace: TracebackType | None) -> str:
+    frames = traceback.extract_tb(trace)
+    return f'{frames[-1].name}:{frames[-1].lineno}' if frames else ''
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -2,12 +2,13 @@
 
 import io
 import json
+import logging
 
 import pytest
 from loguru import logger
 
 from daisylift_node.config import LogSettings
-from daisylift_node.process.logs import configure_logs
+from daisylift_node.process.logs import capture_library_logs, configure_logs
 
 
 @pytest.fixture(autouse=True)
@@ -50,3 +51,16 @@
         logger.exception('failed')
     lines = stream.getvalue().splitlines()
     assert [json.loads(line)['exception'] for line in lines] == ["ValueError('broken')"]
+
+
+def test_reports_of_libraries_are_json_lines(logs):
+    capture_library_logs()
+    try:
+        raise ValueError('broken')
+    except ValueError:
+        logging.getLogger('asyncio').exception('in callback {x}')
+    finally:
+        logging.basicConfig(force=True)
+    line = logs.first('in callback {x}')
+    assert line['library'] == 'asyncio'
+    assert line['exception'] == "ValueError('broken')"
