Read ports and hosts of server addresses without exceptions

Cause: the port was checked by str.isdigit, which accepts U+00B2 and other digits that int refuses, and any number of them; int then raised ValueError, which is no DocumentError. It left the listener and Replica.follow and ended the task that follows the servers, at each start again as long as the entry was there. Evidence: with the tasks supervised the log has 'task failed, it is run again' with task follow-servers and this ValueError each half second.

Now a port is one to five ASCII digits from 1 to 65535 and the host an IPv4 address, as the platform resolves no names; anything else is a DocumentError, which costs that entry only. Texts of other writers are cut to 80 characters in log lines.

Ruled out: catching ValueError around the listener alone, as an entry that raises would still hide the changes that came with it.

--- a/packages/daisylift-node/src/daisylift_node/platform/documents.py
+++ b/packages/daisylift-node/src/daisylift_node/platform/documents.py
@@ -1,5 +1,6 @@
 """Decoding of the documents in the platform's store into the product's types."""
 
+import ipaddress
 from collections.abc import Mapping
 from typing import Any, TypeVar
 
@@ -22,6 +23,9 @@
 EVACUATION_KIND = 'evacuations'
 MEMBER_KIND = 'daisylift-members'
 VERSION_BASE = 16
+MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
+MAX_LOGGED_CHARACTERS = 80
 MS_PER_SECOND = 1000.0
 REQUEST_KINDS_BY_NAME = {
     'safe': RequestKind.SAFE,
@@ -146,7 +150,7 @@
             version = int(config.version, VERSION_BASE)
         except ValueError as error:
             raise DocumentError(
-                f'version {config.version!r} is not a hexadecimal number'
+                f'version {_shortened(config.version)} is not a hexadecimal number'
             ) from error
         return DesiredState(
             version=version,
@@ -167,16 +171,14 @@
     def server(self, name: str, body: Any) -> RegisteredServer:
         """Return the backend server whose registration has this body."""
         server = _validated(_Server, body)
-        host, _, port = server.address.rpartition(':')
-        if not host or not port.isdigit():
-            raise DocumentError(f'address {server.address!r} is not HOST:PORT')
+        host, port = _address(server.address)
         if server.state not in (DRAINING_STATE, READY_STATE):
-            raise DocumentError(f'unknown state {server.state!r}')
+            raise DocumentError(f'unknown state {_shortened(server.state)}')
         return RegisteredServer(
             id=name,
             service=server.service,
             host=host,
-            port=int(port),
+            port=port,
             failure_domain=server.zone,
             slots=server.slots,
             leaving=server.state == DRAINING_STATE,
@@ -213,6 +215,28 @@
         raise DocumentError(f'{location}: {violation["msg"]}') from error
 
 
+def _address(text: str) -> tuple[str, int]:
+    """Return the IPv4 address and the port; host names are not resolved."""
+    host, _, digits = text.rpartition(':')
+    is_port = digits.isascii() and digits.isdigit() and len(digits) <= MAX_PORT_DIGITS
+    if not is_port or not 0 < int(digits) <= MAX_PORT:
+        raise DocumentError(f'address {_shortened(text)} does not end with a port')
+    try:
+        address = ipaddress.IPv4Address(host)
+    except ValueError as error:
+        raise DocumentError(
+            f'address {_shortened(text)} does not begin with an IPv4 address'
+        ) from error
+    return str(address), int(digits)
+
+
+def _shortened(text: str) -> str:
+    """Return the text in quotes, cut so that it fits a log line."""
+    if len(text) <= MAX_LOGGED_CHARACTERS:
+        return repr(text)
+    return f'{text[:MAX_LOGGED_CHARACTERS]!r}...'
+
+
 def _route(host: str, rule: _Rule) -> Route:
     timeout_seconds = rule.action.timeout_ms / MS_PER_SECOND
     target_ms = rule.target_latency_ms
--- /dev/null
+++ b/tests/test_odd_entries.py
@@ -0,0 +1,82 @@
+"""Tests that an odd entry of another writer costs nothing but itself.
+
+Each entry is stored alone, before an entry VM starts or while it runs. The VM must be
+ready, answer requests, and follow the other entries: servers that join and those that
+drain.
+"""
+
+from typing import Any
+
+import pytest
+
+from tests.entry_harness import EntryHarness, make_registration, make_rule
+from tests.fakes.platform import FakePlatform
+from tests.fakes.scripted_server import Script, ScriptedServer, http_response
+from tests.utils import wait_until
+
+ANSWER = http_response(b'whole', 'r-1')
+REQUESTS = 6
+VALID: dict[str, Any] = {
+    'service': 'catalogue',
+    'address': '127.0.0.1:9',
+    'zone': 'arusha-a',
+    'version': 'v1',
+    'slots': 4,
+    'state': 'ready',
+    'cold_remaining_ms': 0,
+    'sequence': 1,
+    'born': 1,
+}
+
+
+async def check_odd_object(kind: str, name: str, specification: Any) -> None:
+    """Check that the object does no harm, stored while the VM runs and before."""
+    for is_first in (False, True):
+        store = FakePlatform()
+        await store.start()
+        try:
+            await _check(store, kind, name, specification, is_first=is_first)
+        finally:
+            await store.stop()
+
+
+async def _check(
+    store: FakePlatform, kind: str, name: str, specification: Any, *, is_first: bool
+) -> None:
+    if is_first:
+        store.write(kind, name, specification)
+    async with (
+        ScriptedServer([Script(ANSWER)] * REQUESTS) as first,
+        ScriptedServer([Script(ANSWER)] * REQUESTS) as second,
+        EntryHarness(store=store, owns_store=False) as harness,
+    ):
+        await harness.configure(1, make_rule('/x/', 'catalogue'))
+        await harness.register(i_1=make_registration(first))
+        if not is_first:
+            store.write(kind, name, specification)
+        await harness.register(i_2=make_registration(second))
+        await harness.register(i_1=make_registration(first, state='draining'))
+        assert harness.application is not None
+        view = harness.application.view
+        await wait_until(lambda: 'i-2' in view.placer('catalogue').candidates_by_id)
+        await wait_until(lambda: 'i-1' not in view.placer('catalogue').candidates_by_id)
+        assert (await harness.get('readiness', '/-/readiness')).status == 200
+        for _ in range(REQUESTS):
+            assert (await harness.send()).status == 200
+        assert not first.requests
+        metrics = harness.application.metrics.exposition().decode()
+        assert 'daisylift_task_restarts_total{' not in metrics
+
+
+@pytest.mark.parametrize(
+    'address',
+    [
+        '127.0.0.1:808\u00b2',  # a digit to str.isdigit, not to int
+        '127.0.0.1:\u2460',
+        '127.0.0.1:' + '9' * 5000,  # more digits than int reads
+    ],
+)
+async def test_an_unreadable_port_does_not_end_the_following_of_servers(
+    address: str,
+) -> None:
+    await check_odd_object('servers', 'i-odd', {**VALID, 'address': address})
