Treat a server whose address cannot be used as not reached

Cause: ServerPool handled OSError only. The resolver raises UnicodeError or ValueError and connect OverflowError; these passed through Steering, no failure was counted, and the server looked idle to the next request.

Now they are NotSentError: the server is suspended and the request goes to another one.

--- a/packages/daisylift-node/src/daisylift_node/connection/server_pool.py
+++ b/packages/daisylift-node/src/daisylift_node/connection/server_pool.py
@@ -123,7 +123,8 @@
                 )
         except TimeoutError as error:
             raise NotSentError('connecting timed out') from error
-        except OSError as error:
+        except (OSError, OverflowError, ValueError) as error:
+            # Hosts and ports that cannot be used raise other errors than OSError.
             raise NotSentError(f'connecting failed: {error}') from error
         self.opened += 1
         return connection
