Answer and log a request that ends by an unexpected error

Callers got a 500 of the HTTP library, and the log had no line with the id of the request.

Cause: EntryHandler handled only what Steering returns.

Now the error is logged with the request id and where it was raised. A request that had not been given to a server is refused with 503 and Retry-After, as it has not run; any other gets 502, which promises nothing. The reason is 'internal' in log and metrics.

--- a/packages/daisylift-node/src/daisylift_node/request/entry_handler.py
+++ b/packages/daisylift-node/src/daisylift_node/request/entry_handler.py
@@ -31,6 +31,7 @@
 STATUS_FAILED = 502
 UNDECLARED_BODY_BYTES = 64 * 1024  # counted for a chunked body; most are far shorter
 STARTUP_RETRY_AFTER_SECONDS = 0.3  # by then a node that just started has its state
+INTERNAL_RETRY_AFTER_SECONDS = 0.3  # another VM may be able to handle the request
 FRAMING_HEADERS = HOP_BY_HOP | {b'content-length'}
 
 
@@ -68,7 +69,7 @@
             result = await self._read_call(request, arrived_at)
             if isinstance(result, SteeredCall):
                 call = result
-                outcome = await self._steering.steer(call)
+                outcome = await self._steer(call)
             else:
                 outcome = result
         except web.HTTPRequestEntityTooLarge:
@@ -81,6 +82,19 @@
             response.force_close()
         return response
 
+    async def _steer(self, call: SteeredCall) -> Outcome:
+        """Steer the call; an unexpected error ends this call only, and is logged."""
+        try:
+            return await self._steering.steer(call)
+        except Exception:
+            was_placed = call.placement is not None
+            logger.bind(request_id=call.request_id, placed=was_placed).exception(
+                'request ended by an unexpected error'
+            )
+            if was_placed:
+                return Failed(Reason.INTERNAL)
+            return Refused(Reason.INTERNAL, INTERNAL_RETRY_AFTER_SECONDS)
+
     def _body_size(self, request: web.BaseRequest) -> int:
         if not request.can_read_body:
             return 0
--- a/packages/daisylift-node/src/daisylift_node/request/outcome.py
+++ b/packages/daisylift-node/src/daisylift_node/request/outcome.py
@@ -24,6 +24,7 @@
     STOPPING = 'the node is stopping'
     BREAKS_SERVERS = 'the request broke every backend server that ran it'
     UNREADABLE = 'the request can not be passed on'
+    INTERNAL = 'the node failed to handle the request'
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_entry_path.py
+++ b/tests/test_entry_path.py
@@ -8,6 +8,7 @@
 from daisylift_node.version.fleet_view import LAPSE_GRACE_SECONDS
 from tests.entry_harness import EntryHarness, make_registration, make_rule
 from tests.fakes.scripted_server import Script, ScriptedServer, http_response
+from tests.utils import LogCapture
 
 COMPLETE = http_response(b'whole', 'r-1', extra=('Server-Load: 1,0,4', 'X-Kept: yes'))
 
@@ -182,3 +183,36 @@
             *(harness.send('POST', data=chunks()) for _ in range(8))
         )
         assert [reply.status for reply in replies] == [200] * 8
+
+
+# The caller got 500 from the HTTP library, and the log had no line with the request id.
+async def test_an_unexpected_error_before_a_send_is_a_refusal(
+    logs: LogCapture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async with EntryHarness() as harness:
+        await harness.configure(1, make_rule('/x/', 'catalogue'))
+        assert harness.application is not None
+        monkeypatch.setattr(harness.application.view, 'placer', raise_value_error)
+        reply = await harness.send()
+    assert reply.status == 503
+    assert 'Retry-After' in reply.headers
+    line = logs.first('request ended by an unexpected error')
+    assert line['request_id'] == 'r-1'
+    assert logs.first('refused')['reason'] == 'internal'
+
+
+async def test_an_unexpected_error_during_a_send_is_a_failure(
+    logs: LogCapture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async with ScriptedServer([Script(COMPLETE)]) as server, EntryHarness() as harness:
+        await harness.configure(1, make_rule('/x/', 'catalogue'))
+        await harness.register(i_1=make_registration(server))
+        assert harness.application is not None
+        monkeypatch.setattr(harness.application.pool, 'exchange', raise_value_error)
+        reply = await harness.send()
+    assert reply.status == 502
+    assert logs.first('failed')['reason'] == 'internal'
+
+
+def raise_value_error(*_: object) -> None:
+    raise ValueError('broken')
