Stop the supervised tasks in the tests of returns of the store

Two tests cut VMs off by cancelling the entries of EntryApplication._tasks, which has been a TaskSupervisor since, and were red from there on (TypeError). They stop the supervisor instead, which cancels the same tasks; what they check is unchanged.

--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -141,8 +141,7 @@
         write_state(store, version, '/x/')
     await asyncio.sleep(0.5)
     assert vms[0].application is not None
-    for task in vms[0].application._tasks:
-        task.cancel()
+    await vms[0].application._tasks.stop()
     store.restore(copied)
     write_state(store, 5, '/x/', '/y/')
     await asyncio.sleep(APPLY_SECONDS)
@@ -167,8 +166,7 @@
         await asyncio.sleep(0.7)
         for vm in vms[:2]:
             assert vm.application is not None
-            for task in vm.application._tasks:
-                task.cancel()
+            await vm.application._tasks.stop()
         store.restore(copied)
         write_state(store, 5, '/x/', '/y/')
         await asyncio.sleep(APPLY_SECONDS)
