Read listings and watches object by object

Cause: StoreClient decoded a page or a batch of changes as one JSON text, and raised StoreError for all of it when one object in it could not be read; RecursionError was not handled and ended the task. The same bytes came again with each attempt, so it lasted as long as the object. A body nested 900 deep could be decoded, but not encoded for a peer.

Now read_json replaces bytes that are not UTF-8, and reads a text that is no JSON part by part, without recursion; a body that cannot be read is kept as None under its name, which the codecs refuse, and an object without a readable name is left out with a log line. A name is quoted in the path of a call. Pages go on after the last name that is as stored.

Ruled out: errors='surrogateescape', as such names cannot be encoded in a query.

--- a/packages/daisylift-node/src/daisylift_node/platform/store.py
+++ b/packages/daisylift-node/src/daisylift_node/platform/store.py
@@ -1,14 +1,15 @@
 """The HTTP client of the platform's object store."""
 
-import json
 import socket
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from http import HTTPStatus
-from typing import Any
+from typing import Any, TypeVar
+from urllib.parse import quote
 
 import aiohttp
 from loguru import logger
+from yarl import URL
 
 from daisylift_node.connection.send_once import SendOnce
 from daisylift_node.connection.sockets import enable_silence_detection
@@ -23,6 +24,7 @@
     StoredDocument,
     StoreError,
 )
+from daisylift_node.version.json_reader import is_usable, read_json
 
 OBJECTS_PATH = '/-/objects'
 ERA_HEADER = 'Store-Era'
@@ -31,6 +33,8 @@
 SILENCE_TIMEOUT_MS = 2000  # unacknowledged data closes the connection after this time
 MAX_PAGES = 1000
 MS_PER_SECOND = 1000
+MAX_LOGGED_CHARACTERS = 80
+REPLACEMENT_CHARACTER = '\ufffd'  # in the place of bytes that are not UTF-8
 NOT_EXECUTED_STATUSES = (
     HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     HTTPStatus.TOO_MANY_REQUESTS,
@@ -38,6 +42,9 @@
 )
 
 
+EntryT = TypeVar('EntryT')
+
+
 @dataclass(frozen=True, slots=True)
 class _Response:
     content: dict[str, Any]
@@ -73,7 +80,7 @@
 
     async def get(self, kind: str, name: str) -> StoredDocument:
         """Return one object; raise NotFoundError if there is none."""
-        return _document((await self._call('GET', f'/{kind}/{name}')).content)
+        return _required((await self._call('GET', _path(kind, name))).content)
 
     async def list(
         self, kind: str, after: str = '', limit: int | None = None
@@ -94,14 +101,19 @@
             if era not in (None, response.era):
                 raise StoreError(f'the store came back while {kind} was listed')
             era = response.era
-            items = [_document(item) for item in _field(page, 'items', list)]
+            items = _readable(kind, map(_document, _field(page, 'items', list)))
             documents.extend(items)
             revision = _field(page, 'at', int)
             lowest = revision if lowest is None else min(lowest, revision)
             is_full = limit is not None and len(documents) >= limit
-            if is_full or not page.get('more') or not items:
+            if is_full or not page.get('more'):
                 return DocumentListing(lowest, tuple(documents[:limit]), era)
-            after = items[-1].name
+            previous, after = after, _last_name(items, after)
+            if after == previous:
+                logger.bind(kind=kind, after=after[:MAX_LOGGED_CHARACTERS]).error(
+                    'the rest of the list left out: no name on the page can be read'
+                )
+                return DocumentListing(lowest, tuple(documents), era)
         raise StoreError(f'the list of {kind} does not end')
 
     async def watch(
@@ -120,10 +132,10 @@
             },
             timeout_seconds=wait_seconds + WATCH_MARGIN_SECONDS,
         )
-        events = _field(response.content, 'events', list)
+        events = map(_change, _field(response.content, 'events', list))
         return DocumentChanges(
             revision=_field(response.content, 'at', int),
-            changes=tuple(_change(event) for event in events),
+            changes=tuple(_readable(kind, events)),
             era=response.era,
         )
 
@@ -131,7 +143,7 @@
         """Create an object; raise ConflictError if it exists."""
         document = {'metadata': {'name': name}, 'specification': body}
         response = await self._call('POST', f'/{kind}', document=document)
-        return _document(response.content)
+        return _required(response.content)
 
     async def update(
         self, kind: str, name: str, body: Any, revision: int
@@ -139,8 +151,8 @@
         """Replace an object; raise ConflictError unless it is at the revision."""
         metadata = {'name': name, 'revision': revision}
         document = {'metadata': metadata, 'specification': body}
-        response = await self._call('PUT', f'/{kind}/{name}', document=document)
-        return _document(response.content)
+        response = await self._call('PUT', _path(kind, name), document=document)
+        return _required(response.content)
 
     async def put(self, kind: str, name: str, body: Any) -> None:
         """Create the object, or replace it if it exists."""
@@ -148,12 +160,12 @@
             await self.create(kind, name, body)
         except ConflictError:
             document = {'metadata': {'name': name}, 'specification': body}
-            await self._call('PUT', f'/{kind}/{name}', document=document)
+            await self._call('PUT', _path(kind, name), document=document)
 
     async def delete(self, kind: str, name: str, revision: int) -> None:
         """Delete the object; raise ConflictError unless it is at the revision."""
         query = {'revision': str(revision)}
-        await self._call('DELETE', f'/{kind}/{name}', query=query)
+        await self._call('DELETE', _path(kind, name), query=query)
 
     async def _call(
         self,
@@ -173,7 +185,7 @@
         try:
             async with self._session.request(
                 method,
-                self._base + path,
+                URL(self._base + path, encoded=True),
                 params=query,
                 json=document,
                 timeout=timeout,
@@ -227,9 +239,9 @@
 
 def _object(call: str, text: bytes) -> dict[str, Any]:
     try:
-        response = json.loads(text)
+        response = read_json(text)
     except ValueError as error:
-        raise StoreError(f'{call}: the answer is not JSON') from error
+        raise StoreError(f'{call}: the answer is not JSON: {error}') from error
     if not isinstance(response, dict):
         raise StoreError(f'{call}: the answer is not an object')
     return response
@@ -237,27 +249,71 @@
 
 def _field(response: Mapping[str, Any], name: str, kind: type) -> Any:
     value = response.get(name)
-    if not isinstance(value, kind):
+    if not isinstance(value, kind) or isinstance(value, bool):
         raise StoreError(f'the answer has no usable {name}')
     return value
 
 
-def _document(item: Any) -> StoredDocument:
-    if not isinstance(item, dict):
-        raise StoreError('an object of the answer can not be read')
-    metadata = _field(item, 'metadata', dict)
-    return StoredDocument(
-        name=_field(metadata, 'name', str),
-        revision=_field(metadata, 'revision', int),
-        body=item.get('specification'),
-    )
+def _path(kind: str, name: str) -> str:
+    return f'/{kind}/{quote(name, safe="", errors="replace")}'
+
+
+def _document(item: Any) -> StoredDocument | None:
+    """Return the object, or None if its name cannot be read.
+
+    The body is None if it or the revision cannot be read.
+    """
+    metadata = item.get('metadata') if isinstance(item, dict) else None
+    name = metadata.get('name') if isinstance(metadata, dict) else None
+    if not isinstance(name, str):
+        return None
+    revision = metadata.get('revision')
+    if not isinstance(revision, int) or isinstance(revision, bool):
+        return StoredDocument(name, 0, None)
+    body = item.get('specification')
+    return StoredDocument(name, revision, body if is_usable(body) else None)
+
+
+def _required(item: Any) -> StoredDocument:
+    document = _document(item)
+    if document is None:
+        raise StoreError('the object of the answer can not be read')
+    return document
 
 
-def _change(event: Any) -> DocumentChange:
+def _change(event: Any) -> DocumentChange | None:
     if not isinstance(event, dict):
-        raise StoreError('an event in the store response is not a JSON object')
+        return None
     document = _document(event.get('object'))
-    return DocumentChange(document=document, deleted=bool(event.get('deleted')))
+    if document is None:
+        return None
+    return DocumentChange(document=document, deleted=event.get('deleted') is True)
+
+
+def _readable(kind: str, entries: Iterable[EntryT | None]) -> list[EntryT]:
+    """Return the entries that can be read, and log how many can't."""
+    found = list(entries)
+    readable = [entry for entry in found if entry is not None]
+    if len(readable) < len(found):
+        logger.bind(kind=kind, count=len(found) - len(readable)).warning(
+            'entries of the store left out: their names can not be read'
+        )
+    return readable
+
+
+def _last_name(documents: Sequence[StoredDocument], after: str) -> str:
+    """Return the name after which the next page begins, ``after`` if there is none."""
+    names = (document.name for document in documents)
+    return max((name for name in names if _is_exact(name)), default=after)
+
+
+def _is_exact(name: str) -> bool:
+    """Return whether the name is as stored, without bytes that were replaced."""
+    return REPLACEMENT_CHARACTER not in name and not any(map(_is_surrogate, name))
+
+
+def _is_surrogate(character: str) -> bool:
+    return '\ud800' <= character <= '\udfff'
 
 
 def _open_socket(address: Any) -> socket.socket:
--- a/tests/fakes/platform.py
+++ b/tests/fakes/platform.py
@@ -24,6 +24,27 @@
 WRITES = ('POST', 'PUT', 'DELETE')
 
 
+@dataclass(frozen=True, slots=True)
+class RawJson:
+    """Bytes that stand in responses as they are, in the place of a JSON value."""
+
+    content: bytes
+
+
+def encode_json(value: Any) -> bytes:
+    """Return the value as JSON, with the bytes of each RawJson in its place."""
+    raw: list[bytes] = []
+
+    def placeholder(found: RawJson) -> str:
+        raw.append(found.content)
+        return f'raw-json-{len(raw) - 1}'
+
+    text = json.dumps(value, default=placeholder).encode()
+    for number, content in enumerate(raw):
+        text = text.replace(f'"raw-json-{number}"'.encode(), content, 1)
+    return text
+
+
 @dataclass(slots=True)
 class Faults:
     """The active faults of the platform.
@@ -198,7 +219,7 @@
         kind = request.match_info['kind']
         after = request.query.get('after', '')
         names = sorted(n for k, n in self.objects if k == kind and n > after)
-        return web.json_response(
+        return _json_response(
             {
                 'items': [self.objects[kind, name] for name in names[:PAGE_ITEMS]],
                 'more': len(names) > PAGE_ITEMS,
@@ -234,6 +255,12 @@
         self._record_event(kind, stored, deleted=False)
         return stored
 
+    def write_object(self, kind: str, name: str, stored: Any) -> None:
+        """Store an object that has this form as a whole, under the name."""
+        self.revision += 1
+        self.objects[kind, name] = stored
+        self._record_event(kind, stored, deleted=False)
+
     def remove(self, kind: str, name: str) -> dict[str, Any]:
         """Delete an object and return it."""
         self.revision += 1
@@ -282,7 +309,7 @@
         if self.faults.down:
             raise web.HTTPServiceUnavailable
         at = revision if self.faults.deaf_watches else self.revision
-        return web.json_response({'at': at, 'events': events})
+        return _json_response({'at': at, 'events': events})
 
     def _events_after(self, kind: str, revision: int) -> list[dict[str, Any]]:
         return [
@@ -315,6 +342,10 @@
         return web.json_response({'calls': self.calls, 'revision': self.revision})
 
 
+def _json_response(content: Any) -> web.Response:
+    return web.Response(body=encode_json(content), content_type='application/json')
+
+
 def _key(request: web.Request) -> tuple[str, str]:
     return request.match_info['kind'], request.match_info['name']
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -5,12 +5,13 @@
 drain.
 """
 
+import json
 from typing import Any
 
 import pytest
 
 from tests.entry_harness import EntryHarness, make_registration, make_rule
-from tests.fakes.platform import FakePlatform
+from tests.fakes.platform import FakePlatform, RawJson
 from tests.fakes.scripted_server import Script, ScriptedServer, http_response
 from tests.utils import wait_until
 
@@ -80,3 +81,43 @@
     address: str,
 ) -> None:
     await check_odd_object('servers', 'i-odd', {**VALID, 'address': address})
+
+
+def raw_server(**changes: bytes) -> RawJson:
+    """Return a registration in which the JSON of some values is replaced."""
+    values = {name: json.dumps(value).encode() for name, value in VALID.items()}
+    values |= changes
+    members = (b'"%b":%b' % (name.encode(), value) for name, value in values.items())
+    return RawJson(b'{%b}' % b','.join(members))
+
+
+# A list or watch with such bytes failed as a whole, at each attempt.
+@pytest.mark.parametrize(
+    'specification',
+    [
+        raw_server(address=b'"127.0.0.1:808\xb2"'),
+        raw_server(service=b'"\xff\xfe"'),
+        raw_server(service=b'"\\ud800"'),
+        raw_server(service=b'"\x00\x1f"'),
+        raw_server(slots=b'9' * 5000),
+        raw_server(slots=b'1e999'),
+        raw_server(cold_remaining_ms=b'NaN'),
+        raw_server(cold_remaining_ms=b'Infinity'),
+        raw_server(cold_remaining_ms=b'-Infinity'),
+        raw_server(born=b'-' + b'9' * 400),
+        raw_server(slots=b'04'),
+        raw_server(slots=b'nothing'),
+        raw_server(sequence=b'[' * 500 + b']' * 500),
+        raw_server(sequence=b'[' * 950 + b']' * 950),
+        raw_server(sequence=b'[' * 100_000 + b']' * 100_000),
+        raw_server(sequence=b'{"a":' * 5000 + b'1' + b'}' * 5000),
+        RawJson(b'{"slots": 4,, "state": }'),
+        RawJson(b'[' * 100_000 + b']' * 100_000),
+        RawJson(b'"' + b'x' * 900_000 + b'"'),
+    ],
+    ids=range(19),
+)
+async def test_bytes_that_cannot_be_read_cost_only_their_entry(
+    specification: RawJson,
+) -> None:
+    await check_odd_object('servers', 'i-odd', specification)
