Refuse registrations with values that no server can have

Callers got 500, now 503 with reason 'internal', for requests of a service while a server of it had an id that is no header value or that cannot be encoded (U+D800).

Cause: the id of a server comes from the metadata of its object and was not checked; it goes into the header Target-Instance and into hashes. Slots and the time that a server stays cold had no upper bound, so a number that no float holds raised OverflowError in placement. PROTOCOL.md: an entry with 'fields missing or of another type [...] names no upstream to use'; an odd sequence was read as 0, and a missing version or cold time was accepted.

The check in test_store_return.py that read an odd sequence as 0 now expects the entry to be refused, as the page says.

--- a/packages/daisylift-node/src/daisylift_node/platform/documents.py
+++ b/packages/daisylift-node/src/daisylift_node/platform/documents.py
@@ -1,6 +1,7 @@
 """Decoding of the documents in the platform's store into the product's types."""
 
 import ipaddress
+import re
 from collections.abc import Mapping
 from typing import Any, TypeVar
 
@@ -26,6 +27,8 @@
 MAX_PORT = 65535
 MAX_PORT_DIGITS = 5
 MAX_LOGGED_CHARACTERS = 80
+MAX_SLOTS = 65_535  # each takes a connection at least
+MAX_COLD_MS = 24 * 3_600_000.0
 MS_PER_SECOND = 1000.0
 REQUEST_KINDS_BY_NAME = {
     'safe': RequestKind.SAFE,
@@ -35,6 +38,7 @@
 DRAINING_STATE = 'draining'
 READY_STATE = 'ready'
 DEFAULT_LIMITS = CallerLimits()
+_SERVER_ID = re.compile('[!-~]{1,253}')  # what a header can carry
 DocumentT = TypeVar('DocumentT', bound=BaseModel)
 
 
@@ -108,12 +112,13 @@
 class _Server(_Document):
     service: str = Field(min_length=1)
     address: str
-    zone: str
-    slots: int = Field(ge=1)
+    zone: str = Field(min_length=1)
+    version: str
+    slots: int = Field(ge=1, le=MAX_SLOTS)
     state: str
-    cold_remaining_ms: float = Field(default=0, ge=0)  # at the time of writing
-    born: int = 0  # start time in Unix ms, by the server's clock
-    sequence: Any = 0  # number of the heartbeat since the start
+    cold_remaining_ms: float = Field(ge=0, le=MAX_COLD_MS)  # at the time of writing
+    born: int = Field(default=0, ge=0)  # start in Unix ms, by the server's clock
+    sequence: int = Field(ge=0)  # number of the heartbeat since the start
 
 
 class _Member(_Document):
@@ -170,6 +175,8 @@
 
     def server(self, name: str, body: Any) -> RegisteredServer:
         """Return the backend server whose registration has this body."""
+        if not _SERVER_ID.fullmatch(name):
+            raise DocumentError(f'{_shortened(name)} can not be sent in a header')
         server = _validated(_Server, body)
         host, port = _address(server.address)
         if server.state not in (DRAINING_STATE, READY_STATE):
@@ -184,7 +191,7 @@
             leaving=server.state == DRAINING_STATE,
             cold_seconds=server.cold_remaining_ms / MS_PER_SECOND,
             started_at_ms=server.born,
-            sequence=server.sequence if isinstance(server.sequence, int) else 0,
+            sequence=server.sequence,
         )
 
     def member(self, name: str, body: Any) -> EntryMember:
--- a/tests/test_entry_members.py
+++ b/tests/test_entry_members.py
@@ -57,8 +57,7 @@
         async with second:
             await asyncio.sleep(0.6)
             assert second.application is not None
-            for task in second.application._tasks:
-                task.cancel()
+            await second.application._tasks.stop()
             await first.configure(
                 2, make_rule('/x/', 'catalogue'), make_rule('/y/', 'till')
             )
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -6,6 +6,7 @@
 """
 
 import json
+from contextlib import AsyncExitStack
 from typing import Any
 
 import pytest
@@ -17,9 +18,8 @@
 
 ANSWER = http_response(b'whole', 'r-1')
 REQUESTS = 6
-VALID: dict[str, Any] = {
+VALID: dict[str, Any] = {  # without the address, which is that of a running server
     'service': 'catalogue',
-    'address': '127.0.0.1:9',
     'zone': 'arusha-a',
     'version': 'v1',
     'slots': 4,
@@ -32,29 +32,45 @@
 
 async def check_odd_object(kind: str, name: str, specification: Any) -> None:
     """Check that the object does no harm, stored while the VM runs and before."""
+    await check_odd_objects(kind, {name: specification})
+
+
+async def check_odd_objects(kind: str, specifications: dict[str, Any]) -> None:
+    """Check that the objects, by name, do no harm together."""
     for is_first in (False, True):
         store = FakePlatform()
         await store.start()
         try:
-            await _check(store, kind, name, specification, is_first=is_first)
+            await _check(store, kind, specifications, is_first=is_first)
         finally:
             await store.stop()
 
 
 async def _check(
-    store: FakePlatform, kind: str, name: str, specification: Any, *, is_first: bool
+    store: FakePlatform, kind: str, specifications: dict[str, Any], *, is_first: bool
 ) -> None:
-    if is_first:
-        store.write(kind, name, specification)
+    def write_odd_objects(server: ScriptedServer) -> None:
+        address = f'127.0.0.1:{server.port}'
+        for name, specification in specifications.items():
+            if isinstance(specification, dict) and name != 'odd-without-address':
+                specification = {'address': address, **specification}
+            store.write(kind, name, specification)
+
     async with (
+        ScriptedServer([Script(ANSWER)] * 2 * REQUESTS) as odd,
         ScriptedServer([Script(ANSWER)] * REQUESTS) as first,
         ScriptedServer([Script(ANSWER)] * REQUESTS) as second,
-        EntryHarness(store=store, owns_store=False) as harness,
+        AsyncExitStack() as stack,
     ):
+        if is_first:
+            write_odd_objects(odd)
+        harness = await stack.enter_async_context(
+            EntryHarness(store=store, owns_store=False)
+        )
         await harness.configure(1, make_rule('/x/', 'catalogue'))
         await harness.register(i_1=make_registration(first))
         if not is_first:
-            store.write(kind, name, specification)
+            write_odd_objects(odd)
         await harness.register(i_2=make_registration(second))
         await harness.register(i_1=make_registration(first, state='draining'))
         assert harness.application is not None
@@ -86,6 +102,7 @@
 def raw_server(**changes: bytes) -> RawJson:
     """Return a registration in which the JSON of some values is replaced."""
     values = {name: json.dumps(value).encode() for name, value in VALID.items()}
+    values['address'] = b'"127.0.0.1:9"'
     values |= changes
     members = (b'"%b":%b' % (name.encode(), value) for name, value in values.items())
     return RawJson(b'{%b}' % b','.join(members))
@@ -121,3 +138,61 @@
     specification: RawJson,
 ) -> None:
     await check_odd_object('servers', 'i-odd', specification)
+
+
+ODD_VALUES: list[Any] = [
+    None,
+    True,
+    0,
+    -1,
+    7,
+    3.5,
+    10**18,
+    -(10**18),
+    1e308,
+    -1e308,
+    '',
+    ' ',
+    'x',
+    '7',
+    'a' * 100_000,
+    'line\r\nInjected: yes',
+    'nul\x00',
+    '\u0661',
+    [],
+    {},
+    [1],
+    {'a': 1},
+]
+ODD_NAMES = [
+    'i-line\r\nInjected: yes',
+    'i-nul\x00',
+    'i-\u0661',
+    'i-\ud800',
+    'i-\xff',
+    'i-?x#y/../z',
+    ' ',
+    'i-' + 'a' * 100_000,
+]
+
+
+# A number of slots that no float can hold, or a name that is no header value, failed
+# each request of the service.
+async def test_odd_values_of_registrations_cost_only_their_entry() -> None:
+    odd = {
+        f'odd-{field}-{number}': {**VALID, field: value}
+        for field in (*VALID, 'address')
+        for number, value in enumerate(ODD_VALUES)
+    }
+    odd |= {
+        f'odd-without-{field}': {
+            name: value for name, value in VALID.items() if name != field
+        }
+        for field in (*VALID, 'address')
+    }
+    odd |= {f'odd-{number}': value for number, value in enumerate(ODD_VALUES)}
+    await check_odd_objects('servers', odd)
+
+
+async def test_odd_names_of_registrations_cost_only_their_entry() -> None:
+    await check_odd_objects('servers', {name: VALID for name in ODD_NAMES})
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -4,6 +4,8 @@
 from typing import Any
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from daisylift.decisions.server_stats import LoadReport
 from daisylift.models.desired_state import Destination, RequestKind
@@ -80,6 +82,20 @@
         {},
         {**SERVER, 'slots': '6'},
         {**SERVER, 'slots': 0},
+        {**SERVER, 'slots': 65_536},
+        {**SERVER, 'slots': 10**30},
+        {**SERVER, 'slots': True},
+        {**SERVER, 'cold_remaining_ms': -1},
+        {**SERVER, 'cold_remaining_ms': 1e300},
+        {**SERVER, 'cold_remaining_ms': float('inf')},
+        {**SERVER, 'cold_remaining_ms': float('nan')},
+        {**SERVER, 'born': -1},
+        {**SERVER, 'born': 1.5},
+        {**SERVER, 'sequence': 'x'},
+        {**SERVER, 'sequence': -1},
+        {**SERVER, 'version': 7},
+        {**SERVER, 'zone': ''},
+        {**SERVER, 'service': '\ud800'},
         {**SERVER, 'state': 'asleep'},
         {**SERVER, 'address': 'nowhere'},
         {**SERVER, 'address': ':80'},
@@ -96,7 +112,11 @@
         {**SERVER, 'address': f'{"a" * 300}:80'},
         {**SERVER, 'address': 'host.example:80'},
         {**SERVER, 'service': ''},
-        {key: value for key, value in SERVER.items() if key != 'zone'},
+        *(
+            {name: value for name, value in SERVER.items() if name != missing}
+            for missing in SERVER
+            if missing != 'born'
+        ),
     ],
 )
 def test_an_invalid_registration_is_refused(body: Any) -> None:
@@ -104,6 +124,38 @@
         DOCUMENTS.server('i-1', body)
 
 
+@pytest.mark.parametrize('name', ['', ' ', 'a b', 'a\r\nb', 'a\x00', '\xe9', '\ud800'])
+def test_a_server_whose_id_cannot_be_sent_is_refused(name: str) -> None:
+    with pytest.raises(DocumentError):
+        DOCUMENTS.server(name, SERVER)
+
+
+def test_a_server_that_names_no_start_is_decoded() -> None:
+    body = {name: value for name, value in SERVER.items() if name != 'born'}
+    assert DOCUMENTS.server('i-1', body).started_at_ms == 0
+
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda children: st.lists(children) | st.dictionaries(st.text(), children),
+    max_leaves=5,
+)
+
+
+@given(st.text(), st.dictionaries(st.sampled_from(sorted(SERVER)), JSON_VALUES))
+def test_a_registration_is_decoded_or_refused(
+    name: str, odd: dict[str, object]
+) -> None:
+    try:
+        server = DOCUMENTS.server(name, {**SERVER, **odd})
+    except DocumentError:
+        return
+    assert server.incarnation_id
+    assert 0 < server.port < 2**16
+    assert 0 < server.slots < 2**16
+    assert 0.0 <= server.cold_seconds <= 86_400.0
+
+
 def test_a_desired_state_is_decoded() -> None:
     state = DOCUMENTS.desired_state(CONFIG)
     assert state.version == 0x1A
--- a/tests/test_server_limit_overrun.py
+++ b/tests/test_server_limit_overrun.py
@@ -114,8 +114,7 @@
     peers = harness.application.peers
     peers._send_to_peers = lambda data: None  # type: ignore[method-assign]
     peers.datagram_received = lambda data, address: None  # type: ignore[method-assign]
-    for task in harness.application._tasks:
-        task.cancel()
+    await harness.application._tasks.stop()
 
 
 @pytest.mark.parametrize('limit', [LIMIT_PER_SECOND, 3.0])
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -16,7 +16,7 @@
 from daisylift.decisions.store_return import HeldNames, is_superseded
 from daisylift_node.platform import PlatformDocuments, StoreClient
 from daisylift_node.process.entry_application import rewrite_seconds
-from daisylift_node.version.documents import StoreError
+from daisylift_node.version.documents import DocumentError, StoreError
 from tests.entry_harness import (
     EntryHarness,
     make_desired_state,
@@ -394,8 +394,10 @@
         'service': 'catalogue',
         'address': '127.0.0.1:80',
         'zone': 'arusha-a',
+        'version': 'v1',
         'slots': 4,
         'state': 'ready',
+        'cold_remaining_ms': 0,
         'born': 100,
         'sequence': 7,
     }
@@ -406,5 +408,5 @@
     assert not is_superseded(replace(known, sequence=1, started_at_ms=101), known)
     assert is_superseded(replace(known, sequence=9, started_at_ms=99), known)
     for sequence in ('x', None, 1.5):
-        server = PlatformDocuments().server('i-1', body | {'sequence': sequence})
-        assert server.sequence == 0
+        with pytest.raises(DocumentError):
+            PlatformDocuments().server('i-1', body | {'sequence': sequence})
