--- a/tests/test_server_limit_overrun.py
+++ b/tests/test_server_limit_overrun.py
@@ -108,7 +108,7 @@
     return asyncio.get_running_loop().time()
 
 
-def mute_peers(harness: EntryHarness) -> None:
+async def mute_peers(harness: EntryHarness) -> None:
     """Cut the VM off from its peers and from the store."""
     assert harness.application is not None
     peers = harness.application.peers
@@ -138,7 +138,7 @@
         fleet.limited.limit_per_second = LIMIT_PER_SECOND
         started = now()
         await fleet.load(2.0)
-        mute_peers(fleet.harnesses[0])
+        await mute_peers(fleet.harnesses[0])
         await fleet.load(1.0)
         restarted = fleet.harnesses.pop(1)
         assert restarted.application is not None
