Apply entries of the store one by one, and log what fails

Callers could be sent by a VM that had not applied a change, without a log line: an exception for one entry hid all entries that changed with it, a copy of a peer that could not be applied ended its fetch in silence, a body nested 900 deep could not be served to peers, and one peer address that the socket refuses ended the gossip to all.

Cause: the listeners of FleetView, the tasks of PeerExchange._fetch and datagram_received had no bound around one entry, one copy or one datagram.

Now FleetView applies entries one by one; one that fails is logged, counted in daisylift_unreadable_documents and treated as lapsed. Copies are read as the store's answers are, up to 32 MB, and what fails in a fetch or a datagram is logged. Gossip goes to the other members if one address is refused. daisylift_timer_failures counts periodic calls that fail; they were logged already, without their name.

Ruled out: one handler around the whole batch, which would lose the rest of it, as the replica does not report an entry twice.

--- a/packages/daisylift-node/src/daisylift_node/platform/store.py
+++ b/packages/daisylift-node/src/daisylift_node/platform/store.py
@@ -11,6 +11,7 @@
 from loguru import logger
 from yarl import URL
 
+from daisylift_node.connection.bounded_body import read_body
 from daisylift_node.connection.send_once import SendOnce
 from daisylift_node.connection.sockets import enable_silence_detection
 from daisylift_node.version.documents import (
@@ -34,6 +35,7 @@
 MAX_PAGES = 1000
 MS_PER_SECOND = 1000
 MAX_LOGGED_CHARACTERS = 80
+MAX_ANSWER_BYTES = 32 * 1024 * 1024  # a page has 1 MB, a batch of changes may be longer
 REPLACEMENT_CHARACTER = '\ufffd'  # in the place of bytes that are not UTF-8
 NOT_EXECUTED_STATUSES = (
     HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
@@ -193,7 +195,7 @@
             ) as response:
                 era = _era(response.headers.get(ERA_HEADER, ''))
                 self._record_era(call, era)
-                content = await response.read()
+                content = await read_body(response, MAX_ANSWER_BYTES)
                 return _Response(_read_response(call, response.status, content), era)
         except aiohttp.ClientConnectorError as error:
             raise NotExecutedError(f'{call}: {error}') from error
--- a/packages/daisylift-node/src/daisylift_node/process/entry_application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_application.py
@@ -21,7 +21,7 @@
 from daisylift.decisions.region_shift import RegionShiftLimiter
 from daisylift.decisions.retry_budget import RetryBudget, RetryLimits
 from daisylift.models.desired_state import CallerLimits
-from daisylift.models.registered_server import EntryMember
+from daisylift.models.registered_server import MAX_INCARNATION, EntryMember
 from daisylift_node.connection.server_pool import ServerPool
 from daisylift_node.entry_config import DEFAULT_CALLER_TTL_SECONDS, EntrySettings
 from daisylift_node.platform import (
@@ -96,7 +96,7 @@
         bounds = settings.bounds
         vm = settings.vm
         self.metrics = EntryMetrics()
-        self.timer = TimerService()
+        self.timer = TimerService(self.metrics.count_timer_failure)
         self.store = StoreClient(f'http://{settings.store.address}')
         self._documents = PlatformDocuments()
         cold_start_limiter = ColdStartLimiter(
@@ -305,7 +305,8 @@
         """Raise the incarnation above a registered one, even after a clock set back."""
         if incarnation < self.member.incarnation:
             return
-        self.member = replace(self.member, incarnation=incarnation + 1)
+        higher = min(incarnation + 1, MAX_INCARNATION)
+        self.member = replace(self.member, incarnation=higher)
         self.peers.liveness.incarnation = self.member.incarnation
 
     async def _remove_lost(self) -> None:
@@ -374,6 +375,7 @@
     async def _metrics_page(self, request: web.BaseRequest) -> web.Response:
         for kind, replica in self.view.replicas_by_kind.items():
             self.metrics.set_replica_revision(kind, replica.revision)
+            self.metrics.set_unreadable(kind, self.view.unreadable_count(kind))
         self.metrics.set_store_era(self.store.era)
         for service, queue in self.steering.queues_by_service.items():
             self.metrics.set_waiting(service, len(queue.waiters))
--- a/packages/daisylift-node/src/daisylift_node/process/entry_metrics.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_metrics.py
@@ -74,6 +74,18 @@
             ('task',),
             registry=self.registry,
         )
+        self._timer_failures = Counter(
+            'daisylift_timer_failures',
+            'Periodic calls that ended with an unexpected error.',
+            ('call',),
+            registry=self.registry,
+        )
+        self._unreadable = Gauge(
+            'daisylift_unreadable_documents',
+            'Objects of the store that cannot be decoded, by kind.',
+            ('kind',),
+            registry=self.registry,
+        )
         self.started_at = time.time()
 
     def record_request(
@@ -103,6 +115,14 @@
         """Count a task that ended although it should not, and is run again."""
         self._task_restarts.labels(task).inc()
 
+    def count_timer_failure(self, call: str) -> None:
+        """Count a periodic call that ended with an unexpected error."""
+        self._timer_failures.labels(call).inc()
+
+    def set_unreadable(self, kind: str, count: int) -> None:
+        """Set the number of objects of a kind that cannot be decoded."""
+        self._unreadable.labels(kind).set(count)
+
     def set_lines_dropped(self, count: int) -> None:
         """Set the number of dropped log lines."""
         self._lines_dropped.set(count)
--- a/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
+++ b/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
@@ -28,6 +28,7 @@
 from daisylift.decisions.poison_notices import BreakNotice, PoisonNoticeQueue
 from daisylift.decisions.poison_requests import Digest, PoisonRequestCounter
 from daisylift.models.registered_server import EntryMember
+from daisylift_node.connection.bounded_body import read_body
 from daisylift_node.connection.gossip_codec import (
     MAX_LIMITS_PER_DATAGRAM,
     MAX_NOTICES_BESIDE_LIMITS,
@@ -47,12 +48,14 @@
     StoredDocument,
 )
 from daisylift_node.version.fleet_view import FleetView
+from daisylift_node.version.json_reader import is_usable, read_json
 from daisylift_node.version.replica import Replica
 
 GOSSIP_PERIOD_SECONDS = 0.25
 LIMITS_PERIOD_SECONDS = 0.5
 FETCH_DELAY_SECONDS = 0.3  # this VM's own watch has usually caught up by then
 FETCH_TIMEOUT_SECONDS = 1.0
+MAX_COPY_BYTES = 32 * 1024 * 1024
 COPY_PATH = '/copies/{kind}'
 SINCE_QUERY = 'since'
 ERA_QUERY = 'era'
@@ -117,6 +120,14 @@
 
     def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
         """Apply heartbeats and poison notices, and compare revisions."""
+        try:
+            self._apply_datagram(data, address)
+        except Exception:
+            logger.bind(peer=address[0], bytes=len(data)).exception(
+                'gossip datagram not applied: unexpected error'
+            )
+
+    def _apply_datagram(self, data: bytes, address: tuple[str, int]) -> None:
         self._update_members()
         try:
             gossip = decode(data, self._names_by_hash)
@@ -168,7 +179,12 @@
             return
         members = self._view.members_by_name.values()
         for peer in gossip_targets(self._member, members, self._rng):
-            self._transport.sendto(data, (peer.peer_host, peer.peer_port))
+            try:
+                self._transport.sendto(data, (peer.peer_host, peer.peer_port))
+            except (OSError, OverflowError, ValueError) as error:
+                logger.bind(member=peer.name, reason=str(error)).warning(
+                    'gossip not sent to a member'
+                )
 
     def is_ready(self, name: str) -> bool:
         """Return whether the entry VM is alive and accepts callers."""
@@ -244,10 +260,18 @@
         self._awaited_by_kind[kind] = (awaited, since)
         delay_seconds = FETCH_DELAY_SECONDS if self.watches_store() else 0.0
         if now - since >= delay_seconds and kind not in self._fetches:
-            task = asyncio.create_task(self._fetch(replica, url))
+            task = asyncio.create_task(self._fetch_or_log(replica, url))
             self._fetches[kind] = task
             task.add_done_callback(lambda _: self._fetches.pop(kind, None))
 
+    async def _fetch_or_log(self, replica: Replica, url: str) -> None:
+        try:
+            await self._fetch(replica, url)
+        except Exception:
+            logger.bind(kind=replica.kind, peer=url).exception(
+                'copy of a peer not applied: unexpected error'
+            )
+
     async def _fetch(self, replica: Replica, url: str) -> None:
         if self._session is None:
             return
@@ -258,7 +282,8 @@
         path = COPY_PATH.format(kind=replica.kind)
         try:
             async with self._session.get(url + path, params=query) as response:
-                copy = _read_copy(await response.json())
+                content = await read_body(response, MAX_COPY_BYTES)
+                copy = _read_copy(read_json(content))
         except (aiohttp.ClientError, OSError, ValueError) as error:
             logger.bind(kind=replica.kind, peer=url).warning(
                 'copy of the store not fetched from the peer: {}',
@@ -320,12 +345,19 @@
         revision = int(response['at'])
         era = int(response.get('era', 0))
         if 'changes' not in response:
-            documents = tuple(StoredDocument(*each) for each in response['documents'])
+            documents = tuple(map(_read_document, response['documents']))
             return DocumentListing(revision, documents, era)
         changes = tuple(
-            DocumentChange(StoredDocument(*entry), bool(deleted))
+            DocumentChange(_read_document(entry), deleted is True)
             for entry, deleted in response['changes']
         )
         return DocumentChanges(revision, changes, era)
     except (AttributeError, KeyError, TypeError) as error:
         raise ValueError(f'invalid copy: {error}') from error
+
+
+def _read_document(entry: Any) -> StoredDocument:
+    name, revision, body = entry
+    if not isinstance(name, str) or not isinstance(revision, int):
+        raise ValueError('invalid copy: an object without a name or a revision')
+    return StoredDocument(name, revision, body if is_usable(body) else None)
--- a/packages/daisylift-node/src/daisylift_node/version/fleet_view.py
+++ b/packages/daisylift-node/src/daisylift_node/version/fleet_view.py
@@ -47,6 +47,7 @@
 ASSUMED_FLEET_NAMES = ('',) * ASSUMED_FLEET_SIZE
 DEFAULT_COLD_PER_SECOND = 10.0
 PEER_SOURCE = 'peer'
+MAX_LOGGED_CHARACTERS = 80
 
 Clock = Callable[[], float]
 
@@ -91,6 +92,7 @@
         self._entries_by_id: dict[str, _ServerEntry] = {}
         self._entries_by_incarnation: dict[int, _ServerEntry] = {}
         self._removed_by_id: dict[str, _ServerEntry] = {}
+        self._unreadable_by_kind: dict[str, set[str]] = {}
         self._era_by_kind: dict[str, int] = {}
         self._held_servers = HeldNames(rewrite_seconds)
         self._held_members = HeldNames(rewrite_seconds)
@@ -260,12 +262,19 @@
         if names := self._held_domains.take_expired(now):
             self._evacuations_changed(names)
 
+    def unreadable_count(self, kind: str) -> int:
+        """Return the number of objects of the kind that cannot be decoded."""
+        return len(self._unreadable_by_kind.get(kind, ()))
+
     def registered_member(self, name: str) -> EntryMember | None:
         """Return the entry VM as it is registered in the store now, if it is."""
         document = self.members.documents_by_name.get(name)
         if document is None:
             return None
-        return self._member(name, document)
+        try:
+            return self._codec.member(name, document.body)
+        except DocumentError:
+            return None  # logged when the members changed
 
     def _make_replica(
         self,
@@ -352,19 +361,35 @@
         for callback in self._on_change:
             callback()
 
-    def _config_changed(self, names: Iterable[str]) -> None:
+    def _apply_each(
+        self, kind: str, names: Iterable[str], apply: Callable[[str], None]
+    ) -> None:
+        """Apply the objects one by one; one that can't be applied is logged.
+
+        ``apply`` raises DocumentError if the object cannot be decoded.
+        """
+        unreadable = self._unreadable_by_kind.setdefault(kind, set())
         for name in names:
-            document = self.config.documents_by_name.get(name)
-            if document is None or not self._codec.is_desired_state(name):
-                continue
+            unreadable.discard(name)
+            log = logger.bind(kind=kind, name=name[:MAX_LOGGED_CHARACTERS])
             try:
-                state = self._codec.desired_state(document.body)
+                apply(name)
             except DocumentError as error:
-                logger.bind(revision=document.revision).error(
-                    'cannot decode the desired state, ignored: {}', error
-                )
-                continue
-            self._apply_desired_state(state, document.revision)
+                unreadable.add(name)
+                log.warning('cannot decode an object of the store: {}', error)
+            except Exception:
+                unreadable.add(name)
+                log.exception('object of the store not applied: unexpected error')
+
+    def _config_changed(self, names: Iterable[str]) -> None:
+        self._apply_each(self.config.kind, names, self._read_desired_state)
+
+    def _read_desired_state(self, name: str) -> None:
+        document = self.config.documents_by_name.get(name)
+        if document is None or not self._codec.is_desired_state(name):
+            return
+        state = self._codec.desired_state(document.body)
+        self._apply_desired_state(state, document.revision)
 
     def _apply_desired_state(self, state: DesiredState, revision: int) -> None:
         current = self.routes.state.version if self.routes else None
@@ -391,28 +416,29 @@
         is_return = self._is_return(self.servers)
         if is_return:
             names |= self._held_servers.take_all()
-        for name in names:
-            entry = self._entries_by_id.get(name)
+
+        def apply(name: str) -> None:
             document = self.servers.documents_by_name.get(name)
             if document is None:
                 self._held_servers.release(name)
+                entry = self._entries_by_id.get(name)
                 self._mark_lapsed(entry, after_return=is_return)
-            else:
-                self._register(document, entry)
+                return
+            try:
+                self._register(document)
+            except Exception:
+                self._mark_lapsed(self._entries_by_id.get(name))
+                raise
+
+        self._apply_each(self.servers.kind, names, apply)
         if is_return:
             for name in self._entries_by_id.keys() - names:
                 self._entries_by_id[name].era = self.servers.position.era
         self._notify_changed()
 
-    def _register(self, document: StoredDocument, entry: _ServerEntry | None) -> None:
-        try:
-            server = self._codec.server(document.name, document.body)
-        except DocumentError as error:
-            logger.bind(server=document.name).warning(
-                'cannot decode server registration, treated as lapsed: {}', error
-            )
-            self._mark_lapsed(entry)
-            return
+    def _register(self, document: StoredDocument) -> None:
+        server = self._codec.server(document.name, document.body)
+        entry = self._entries_by_id.get(server.id)
         if self._is_superseded(server, entry):
             return
         now = self._clock()
@@ -503,19 +529,20 @@
         names = set(names)
         if is_return:
             names |= self._held_members.take_all()
-        for name in names:
+
+        def apply(name: str) -> None:
             document = self.members.documents_by_name.get(name)
             if document is None:
                 self._forget_member(name, after_return=is_return)
-                continue
-            member = self._member(name, document)
-            if member is None:
-                continue
+                return
+            member = self._codec.member(name, document.body)
             self._held_members.release(name)
             known = self.members_by_name.get(name)
             if is_return and known and member.incarnation < known.incarnation:
-                continue
+                return
             self.members_by_name[name] = member
+
+        self._apply_each(self.members.kind, names, apply)
         self.member_names = tuple(sorted(self.members_by_name))
         self.limit_shares.set_nodes(
             {each.name: each.region for each in self.members_by_name.values()}
@@ -528,15 +555,6 @@
         self._held_members.release(name)
         self.members_by_name.pop(name, None)
 
-    def _member(self, name: str, document: StoredDocument) -> EntryMember | None:
-        try:
-            return self._codec.member(name, document.body)
-        except DocumentError as error:
-            logger.bind(member=name).warning(
-                'cannot decode entry VM registration, ignored: {}', error
-            )
-            return None
-
 
 def _incarnation(server: RegisteredServer) -> tuple[int, str, int, str]:
     return (server.started_at_ms, server.host, server.port, server.service)
--- a/packages/daisylift/src/daisylift/models/registered_server.py
+++ b/packages/daisylift/src/daisylift/models/registered_server.py
@@ -4,6 +4,8 @@
 
 import xxhash
 
+MAX_INCARNATION = 2**32 - 1  # of an entry VM; heartbeats carry 32 bits
+
 
 @dataclass(frozen=True, slots=True)
 class RegisteredServer:
--- a/tests/test_timer.py
+++ b/tests/test_timer.py
@@ -7,18 +7,20 @@
 PERIOD_SECONDS = 0.001
 
 
-async def test_failing_call_is_called_again():
+async def test_failing_call_is_counted_and_called_again():
     calls = asyncio.Queue()
 
     async def callback():
         calls.put_nowait(None)
         raise ValueError('broken')
 
-    timer = TimerService()
+    failed = []
+    timer = TimerService(failed.append)
     timer.subscribe(PERIOD_SECONDS, callback)
     await calls.get()
     await calls.get()
     await timer.stop()
+    assert failed[0] == 'callback'
 
 
 async def test_slow_call_does_not_delay_others():
