Bound what members and desired states may say

Callers found no VM in the directory, or the desired state stopped changing: a member with a peer port of 10^18 or the name U+D800 ended the gossip of every VM (OverflowError in sendto closed the socket, UnicodeEncodeError in the hash of the name), so each took the others for lost. A desired state with a version of 100,000 hexadecimal digits was adopted, and no later one was newer.

Cause: the documents were checked for types and not for ranges; what int(text, 16) reads ('0x1', '1_0', '-1', digits of other scripts) was a version.

Now a member has an IPv4 address and a port for peers, an address with a port for callers, an incarnation that heartbeats can carry (32 bits), and a name that is a usable id; a version has 1 to 16 hexadecimal digits, limits and timeouts are above 0 and bounded.

Two tests that used 'h' as a peer host use an address, which the socket needs.

--- a/packages/daisylift-node/src/daisylift_node/platform/documents.py
+++ b/packages/daisylift-node/src/daisylift_node/platform/documents.py
@@ -15,7 +15,11 @@
     Route,
     ServiceConfig,
 )
-from daisylift.models.registered_server import EntryMember, RegisteredServer
+from daisylift.models.registered_server import (
+    MAX_INCARNATION,
+    EntryMember,
+    RegisteredServer,
+)
 from daisylift_node.version.documents import DocumentError
 
 CONFIG_KIND = 'config'
@@ -28,7 +32,8 @@
 MAX_PORT_DIGITS = 5
 MAX_LOGGED_CHARACTERS = 80
 MAX_SLOTS = 65_535  # each takes a connection at least
-MAX_COLD_MS = 24 * 3_600_000.0
+MAX_COLD_MS = MAX_TIMEOUT_MS = 24 * 3_600_000.0
+MAX_LIMIT_BYTES = 2**31 - 1
 MS_PER_SECOND = 1000.0
 REQUEST_KINDS_BY_NAME = {
     'safe': RequestKind.SAFE,
@@ -38,7 +43,10 @@
 DRAINING_STATE = 'draining'
 READY_STATE = 'ready'
 DEFAULT_LIMITS = CallerLimits()
-_SERVER_ID = re.compile('[!-~]{1,253}')  # what a header can carry
+MAX_LINK_MBPS = 1e7
+MAX_CORES = 1e5
+CALLER_ADDRESS_PATTERN = '^[A-Za-z0-9.-]{1,253}:[0-9]{1,5}$'
+_ID = re.compile('[!-~]{1,253}')  # what a header can carry
 DocumentT = TypeVar('DocumentT', bound=BaseModel)
 
 
@@ -58,7 +66,7 @@
 class _Action(_Document):
     service: str | None = None
     traffic_split: list[_SplitPart] | None = None
-    timeout_ms: float = Field(gt=0)
+    timeout_ms: float = Field(gt=0, le=MAX_TIMEOUT_MS)
     attempts: int = Field(ge=1)  # servers that one request may be sent to
     home_regions: list[str] = []  # empty: any region may serve
 
@@ -96,14 +104,18 @@
 
 
 class _Limits(_Document):
-    header_bytes: int = DEFAULT_LIMITS.header_bytes
-    body_bytes: int = DEFAULT_LIMITS.body_bytes
-    header_timeout_ms: float = DEFAULT_LIMITS.header_timeout_seconds * MS_PER_SECOND
-    idle_timeout_ms: float = DEFAULT_LIMITS.idle_timeout_seconds * MS_PER_SECOND
+    header_bytes: int = Field(DEFAULT_LIMITS.header_bytes, gt=0, le=MAX_LIMIT_BYTES)
+    body_bytes: int = Field(DEFAULT_LIMITS.body_bytes, ge=0, le=MAX_LIMIT_BYTES)
+    header_timeout_ms: float = Field(
+        DEFAULT_LIMITS.header_timeout_seconds * MS_PER_SECOND, gt=0, le=MAX_TIMEOUT_MS
+    )
+    idle_timeout_ms: float = Field(
+        DEFAULT_LIMITS.idle_timeout_seconds * MS_PER_SECOND, gt=0, le=MAX_TIMEOUT_MS
+    )
 
 
 class _Config(_Document):
-    version: str  # hexadecimal
+    version: str = Field(pattern='^[0-9A-Fa-f]{1,16}$')
     limits: _Limits = _Limits()
     listeners: list[_Listener]
     clusters: list[_Cluster]
@@ -122,14 +134,14 @@
 
 
 class _Member(_Document):
-    incarnation: int
+    incarnation: int = Field(ge=0, le=MAX_INCARNATION)
     failure_domain: str
     region: str
-    caller_address: str
+    caller_address: str = Field(pattern=CALLER_ADDRESS_PATTERN)
     peer_host: str
-    peer_port: int
-    link_mbps: float = Field(default=0.0, ge=0)
-    cores: float = Field(default=0.0, ge=0)
+    peer_port: int = Field(ge=1, le=MAX_PORT)
+    link_mbps: float = Field(default=0.0, ge=0, le=MAX_LINK_MBPS)
+    cores: float = Field(default=0.0, ge=0, le=MAX_CORES)
 
 
 class PlatformDocuments:
@@ -151,14 +163,8 @@
     def desired_state(self, body: Any) -> DesiredState:
         """Return the desired state from the body of the configuration object."""
         config = _validated(_Config, body)
-        try:
-            version = int(config.version, VERSION_BASE)
-        except ValueError as error:
-            raise DocumentError(
-                f'version {_shortened(config.version)} is not a hexadecimal number'
-            ) from error
         return DesiredState(
-            version=version,
+            version=int(config.version, VERSION_BASE),
             routes=tuple(
                 _route(listener.host, rule)
                 for listener in config.listeners
@@ -175,8 +181,7 @@
 
     def server(self, name: str, body: Any) -> RegisteredServer:
         """Return the backend server whose registration has this body."""
-        if not _SERVER_ID.fullmatch(name):
-            raise DocumentError(f'{_shortened(name)} can not be sent in a header')
+        _check_id(name)
         server = _validated(_Server, body)
         host, port = _address(server.address)
         if server.state not in (DRAINING_STATE, READY_STATE):
@@ -196,7 +201,9 @@
 
     def member(self, name: str, body: Any) -> EntryMember:
         """Return the entry VM whose registration has this body."""
+        _check_id(name)
         member = _validated(_Member, body)
+        _ipv4_address(member.peer_host)
         return EntryMember(name=name, **member.model_dump())
 
     def member_body(self, member: EntryMember) -> Mapping[str, Any]:
@@ -228,13 +235,19 @@
     is_port = digits.isascii() and digits.isdigit() and len(digits) <= MAX_PORT_DIGITS
     if not is_port or not 0 < int(digits) <= MAX_PORT:
         raise DocumentError(f'address {_shortened(text)} does not end with a port')
+    return _ipv4_address(host), int(digits)
+
+
+def _ipv4_address(text: str) -> str:
     try:
-        address = ipaddress.IPv4Address(host)
+        return str(ipaddress.IPv4Address(text))
     except ValueError as error:
-        raise DocumentError(
-            f'address {_shortened(text)} does not begin with an IPv4 address'
-        ) from error
-    return str(address), int(digits)
+        raise DocumentError(f'{_shortened(text)} is not an IPv4 address') from error
+
+
+def _check_id(name: str) -> None:
+    if not _ID.fullmatch(name):
+        raise DocumentError(f'the name {_shortened(name)} is not usable as an id')
 
 
 def _shortened(text: str) -> str:
--- a/tests/test_entry_members.py
+++ b/tests/test_entry_members.py
@@ -71,7 +71,7 @@
         'failure_domain': 'arusha-a',
         'region': 'arusha',
         'caller_address': 'h:80',
-        'peer_host': 'h',
+        'peer_host': '127.0.0.9',
         'peer_port': 7540,
     }
     harness = EntryHarness(name='entry-1')
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -5,16 +5,25 @@
 drain.
 """
 
+import asyncio
 import json
 from contextlib import AsyncExitStack
 from typing import Any
 
 import pytest
 
-from tests.entry_harness import EntryHarness, make_registration, make_rule
+from daisylift.decisions.liveness import LOST_SECONDS
+from daisylift.models.registered_server import RegisteredServer
+from daisylift_node.platform import PlatformDocuments
+from tests.entry_harness import (
+    EntryHarness,
+    make_desired_state,
+    make_registration,
+    make_rule,
+)
 from tests.fakes.platform import FakePlatform, RawJson
 from tests.fakes.scripted_server import Script, ScriptedServer, http_response
-from tests.utils import wait_until
+from tests.utils import LogCapture, wait_until
 
 ANSWER = http_response(b'whole', 'r-1')
 REQUESTS = 6
@@ -196,3 +205,103 @@
 
 async def test_odd_names_of_registrations_cost_only_their_entry() -> None:
     await check_odd_objects('servers', {name: VALID for name in ODD_NAMES})
+
+
+ODD_MEMBER: dict[str, Any] = {
+    'incarnation': 5,
+    'failure_domain': 'arusha-a',
+    'region': 'arusha',
+    'caller_address': '127.9.9.9:80',
+    'peer_host': '127.9.9.9',
+    'peer_port': 7540,
+    'link_mbps': 100.0,
+    'cores': 1.0,
+}
+
+
+ODD_MEMBER_VALUES: dict[str, list[Any]] = {
+    'incarnation': [None, -1, 2**32, 10**18, 'x', 3.5],
+    'caller_address': [None, '', 'x', 7, ':80', 'a b:80', '\u0661:80', 'h:80\r\nx'],
+    'peer_host': [None, '', 'host.example', 'a' * 300, '::1', '1.2.3.4\x00', 7],
+    'peer_port': [None, 0, -1, 65536, 10**18, '7', 3.5],
+    'link_mbps': [-1, 1e308, 'x'],
+    'cores': [-1, 1e308, 'x'],
+}
+
+
+# Gossip stopped while a member had a peer port or a name that cannot be used, so that
+# the VM was taken for lost and left out of the directory.
+async def test_odd_members_do_not_stop_the_gossip() -> None:
+    odd: dict[str, Any] = {
+        f'odd-{field}-{number}': {**ODD_MEMBER, field: value}
+        for field, values in ODD_MEMBER_VALUES.items()
+        for number, value in enumerate(values)
+    }
+    odd |= {name: ODD_MEMBER for name in ODD_NAMES if not name.startswith('i-?')}
+    odd |= {f'odd-{number}': value for number, value in enumerate(ODD_VALUES)}
+    async with (
+        EntryHarness(name='entry-1') as first,
+        EntryHarness(name='entry-2', store=first.store, owns_store=False) as second,
+    ):
+        await first.configure(1, make_rule('/x/', 'catalogue'))
+        for name, specification in odd.items():
+            first.store.write('daisylift-members', name, specification)
+        await asyncio.sleep(LOST_SECONDS + 1.0)
+        listed = [
+            json.loads((await each.get('directory', '/-/resolve')).body)['addresses']
+            for each in (first, second)
+        ]
+        expected = []
+        for harness in (first, second):
+            assert harness.application is not None
+            expected.append(str(harness.application.settings.listen.caller))
+            metrics = harness.application.metrics.exposition().decode()
+            assert 'daisylift_task_restarts_total{' not in metrics
+            assert 'daisylift_timer_failures_total{' not in metrics
+        assert listed == [sorted(expected)] * 2
+
+
+async def test_odd_desired_states_and_evacuations_cost_only_themselves() -> None:
+    for kind in ('config', 'evacuations'):
+        odd = {f'odd-{number}': value for number, value in enumerate(ODD_VALUES)}
+        await check_odd_objects(kind, odd | {name: VALID for name in ODD_NAMES})
+
+
+@pytest.mark.parametrize('value', ['arusha-b', '\u0661', 'line\r\nx', 'a' * 100_000])
+async def test_a_desired_state_with_odd_values_is_ignored(value: str) -> None:
+    async with ScriptedServer([Script(ANSWER)]) as server, EntryHarness() as harness:
+        await harness.configure(1, make_rule('/x/', 'catalogue'))
+        await harness.register(i_1=make_registration(server))
+        state = make_desired_state(2, make_rule('/x/', 'catalogue'))
+        harness.store.write('config', 'main', state | {'version': value})
+        await asyncio.sleep(0.2)
+        assert (await harness.send()).status == 200
+        await harness.configure(3, make_rule('/z/', 'catalogue'))
+        assert (await harness.send()).status == 404
+
+
+# An exception for one entry hid all others that changed with it.
+async def test_an_unexpected_error_for_one_entry_does_not_hide_others(
+    logs: LogCapture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    decode = PlatformDocuments.server
+
+    def fail_for_odd(self: PlatformDocuments, name: str, body: Any) -> RegisteredServer:
+        if name == 'i-odd':
+            raise ZeroDivisionError
+        return decode(self, name, body)
+
+    monkeypatch.setattr(PlatformDocuments, 'server', fail_for_odd)
+    await check_odd_objects('servers', {'i-odd': VALID})
+    line = logs.first('object of the store not applied')
+    assert (line['kind'], line['name']) == ('servers', 'i-odd')
+
+
+async def test_entries_that_cannot_be_decoded_are_counted() -> None:
+    async with EntryHarness() as harness:
+        await harness.register(i_1={}, i_2=VALID)
+        assert harness.application is not None
+        view = harness.application.view
+        assert view.unreadable_count('servers') == 2
+        harness.store.remove('servers', 'i-1')
+        await wait_until(lambda: view.unreadable_count('servers') == 1)
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -185,7 +185,23 @@
 
 
 @pytest.mark.parametrize(
-    'body', [None, {}, {**CONFIG, 'version': 'xyz'}, {**CONFIG, 'listeners': [{}]}]
+    'body',
+    [
+        None,
+        {},
+        {**CONFIG, 'version': 'xyz'},
+        {**CONFIG, 'version': ''},
+        {**CONFIG, 'version': '-1'},
+        {**CONFIG, 'version': '0x1'},
+        {**CONFIG, 'version': '1_0'},
+        {**CONFIG, 'version': '\u0661'},
+        {**CONFIG, 'version': '1\n'},
+        {**CONFIG, 'version': 'f' * 5000},
+        {**CONFIG, 'limits': {'header_bytes': 0}},
+        {**CONFIG, 'limits': {'header_bytes': 10**18}},
+        {**CONFIG, 'limits': {'idle_timeout_ms': 1e300}},
+        {**CONFIG, 'listeners': [{}]},
+    ],
 )
 def test_an_invalid_desired_state_is_refused(body: Any) -> None:
     with pytest.raises(DocumentError):
@@ -193,7 +209,7 @@
 
 
 def test_members_survive_a_round_trip() -> None:
-    member = EntryMember('a', 5, 'arusha-a', 'arusha', 'h:80', 'h', 7540)
+    member = EntryMember('a', 5, 'arusha-a', 'arusha', 'h:80', '10.1.0.4', 7540)
     assert DOCUMENTS.member('a', DOCUMENTS.member_body(member)) == member
     weak = replace(member, link_mbps=5.0, cores=0.989)
     assert DOCUMENTS.member('a', DOCUMENTS.member_body(weak)) == weak
