Rank servers for object keys that are not UTF-8

It is encoded as it was decoded now. Paths with such bytes are refused with 400 by the HTTP library.

--- a/packages/daisylift/src/daisylift/decisions/ranking.py
+++ b/packages/daisylift/src/daisylift/decisions/ranking.py
@@ -162,4 +162,5 @@
 
 
 def _rank(object_key: str, server_id: str) -> int:
-    return xxh3_64_intdigest(f'{object_key}/{server_id}'.encode())
+    text = f'{object_key}/{server_id}'
+    return xxh3_64_intdigest(text.encode('utf-8', 'surrogateescape'))
--- a/tests/test_entry_path.py
+++ b/tests/test_entry_path.py
@@ -214,5 +214,37 @@
     assert logs.first('failed')['reason'] == 'internal'
 
 
+# A figure that no float holds failed each later request that the server was ranked for.
+async def test_a_load_that_no_server_can_have_is_ignored() -> None:
+    for load in ('9' * 4000, '-5', '\u0661', '1_0', ''):
+        answer = http_response(b'whole', 'r-1', extra=(f'Server-Load: {load},0,4',))
+        async with (
+            ScriptedServer([Script(answer)] * 3) as server,
+            EntryHarness() as harness,
+        ):
+            await harness.configure(1, make_rule('/x/', 'catalogue'))
+            await harness.register(i_1=make_registration(server))
+            for _ in range(3):
+                assert (await harness.send()).status == 200
+
+
+# A key with bytes that are not UTF-8 could not be hashed, and its request got 500.
+async def test_an_object_key_that_is_not_utf_8_is_passed_on() -> None:
+    async with ScriptedServer([Script(COMPLETE)]) as server, EntryHarness() as harness:
+        await harness.configure(1, make_rule('/x/', 'catalogue'))
+        await harness.register(i_1=make_registration(server))
+        assert harness.application is not None
+        address = harness.application.settings.listen.caller
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        writer.write(
+            b'GET /x/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r-1\r\n'
+            b'Affinity-Key: \xb2\r\nConnection: close\r\n\r\n'
+        )
+        answer = await reader.read()
+        writer.close()
+    assert answer.startswith(b'HTTP/1.1 200'), answer
+    assert b'\r\nAffinity-Key: \xb2\r\n' in server.requests[0]
+
+
 def raise_value_error(*_: object) -> None:
     raise ValueError('broken')
