Ignore a load that no server can have

A load is three figures of one to nine ASCII digits now; any other is ignored, as an unreadable one was.

--- a/packages/daisylift-node/src/daisylift_node/platform/headers.py
+++ b/packages/daisylift-node/src/daisylift_node/platform/headers.py
@@ -1,6 +1,7 @@
 """The platform's request headers of callers and response headers of servers."""
 
 import math
+import re
 from collections.abc import Iterable, Mapping
 
 from daisylift.decisions.server_stats import LoadReport
@@ -14,6 +15,8 @@
 RESPONSE_STAMP = 'Response-Stamp'  # a MAC of the response
 LOAD = 'Server-Load'  # "running,waiting,slots"; newer servers add figures
 LIMIT = 'Server-Limit'  # requests per second from all nodes together
+LOAD_FIGURES = 3
+_FIGURE = re.compile('[0-9]{1,9}')
 MS_PER_SECOND = 1000.0
 MISDIRECTED_STATUS = 421
 HEADERS_SET_BY_NODE = frozenset(
@@ -86,8 +89,10 @@
 def _load(text: str | None) -> LoadReport | None:
     if text is None:
         return None
-    try:
-        running, waiting, slots, *_ = (int(part) for part in text.split(','))
-    except ValueError:
+    figures = [part.strip() for part in text.split(',')]
+    if len(figures) < LOAD_FIGURES or not all(
+        _FIGURE.fullmatch(each) for each in figures[:LOAD_FIGURES]
+    ):
         return None
+    running, waiting, slots = map(int, figures[:LOAD_FIGURES])
     return LoadReport(running=running, waiting=waiting, slots=slots)
