Bound the memory for responses without end

A broken-off body stayed alive with the connection, which the traceback of the error holds, while its bytes no longer counted, so the others refilled the limit; what is no body did not count at all. The response that asked at the full limit was broken off, whoever had filled it, so responses of other servers were lost.

Bytes that arrive after a complete response, before its request goes on, still close the connection.

Ruled out: a lower limit alone, as the bytes that no longer counted had no limit.

--- a/packages/daisylift-node/src/daisylift_node/connection/server_connection.py
+++ b/packages/daisylift-node/src/daisylift_node/connection/server_connection.py
@@ -13,7 +13,7 @@
 
 import h11
 
-from daisylift.decisions.buffered_bytes import BufferedBytes
+from daisylift.decisions.response_memory import ResponseMemory
 from daisylift_node.connection.sockets import (
     enable_silence_detection,
     set_keepalive_probes,
@@ -112,9 +112,11 @@
 class ServerConnection(asyncio.Protocol):
     """Sends requests to one backend server, one at a time."""
 
-    def __init__(self, buffered_bytes: BufferedBytes | None = None) -> None:
+    def __init__(
+        self, memory: 'ResponseMemory[ServerConnection] | None' = None
+    ) -> None:
         self.is_open = False
-        self._buffered_bytes = buffered_bytes or BufferedBytes(MAX_RESPONSE_BYTES)
+        self._memory = memory or ResponseMemory(MAX_RESPONSE_BYTES)
         self.idle_since = 0.0
         self.keep_alive_seconds: float | None = None
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
@@ -138,9 +140,13 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes of a response; close the connection if none is expected."""
-        if self._pending is None:
+        if self._pending is None or self._pending.done():
             self.close()
             return
+        for longest in self._memory.add(self, len(data)):
+            longest.break_off('the memory limit for responses is reached')
+        if self._pending.done():
+            return
         try:
             self._h11.receive_data(data)
             self._process_events()
@@ -198,8 +204,11 @@
             raise
         finally:
             self._pending = None
-            self._buffered_bytes.release(self._body_bytes)
-            self._body_bytes = 0
+            self._discard_body()
+
+    def break_off(self, reason: str) -> None:
+        """End the exchange in progress with ExchangeLostError."""
+        self._fail(reason)
 
     def prepare_for_reuse(self) -> bool:
         """Prepare for the next request; return whether that is possible."""
@@ -270,8 +279,6 @@
             > BASE_PART_LIMIT + self._body_bytes // BODY_BYTES_PER_EXTRA_PART
         ):
             self._fail('the response has too many short parts')
-        elif not self._buffered_bytes.reserve(len(part)):
-            self._fail('the memory limit for buffered responses is reached')
         else:
             self._body.append(part)
             self._body_bytes += len(part)
@@ -297,8 +304,15 @@
         if self._pending is not None and not self._pending.done():
             error = ExchangeLostError(reason, lost_before_response, is_silent)
             self._pending.set_exception(error)
+        self._discard_body()
         self.reset()
 
+    def _discard_body(self) -> None:
+        """Free the bytes; the error or its traceback may keep the connection alive."""
+        self._body = []
+        self._body_bytes = 0
+        self._memory.release(self)
+
 
 def _keep_alive_seconds(headers: h11._headers.Headers) -> float | None:
     for name, value in headers:
--- a/packages/daisylift-node/src/daisylift_node/connection/server_pool.py
+++ b/packages/daisylift-node/src/daisylift_node/connection/server_pool.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from daisylift.decisions.buffered_bytes import BufferedBytes
+from daisylift.decisions.response_memory import ResponseMemory
 from daisylift.models.registered_server import RegisteredServer
 from daisylift_node.connection.server_connection import (
     ExchangeLostError,
@@ -35,8 +35,8 @@
     Connections are kept per server and start time, so a restarted server gets new ones.
     """
 
-    def __init__(self, buffered_bytes: BufferedBytes | None = None) -> None:
-        self._buffered_bytes = buffered_bytes
+    def __init__(self, memory: ResponseMemory[ServerConnection] | None = None) -> None:
+        self._memory = memory
         self._kept_by_key: dict[tuple[str, int], _KeptConnections] = {}
         self.opened = 0
 
@@ -117,7 +117,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
                 _, connection = await loop.create_connection(
-                    lambda: ServerConnection(self._buffered_bytes),
+                    lambda: ServerConnection(self._memory),
                     server.host,
                     server.port,
                 )
--- a/packages/daisylift-node/src/daisylift_node/process/entry_application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_application.py
@@ -19,6 +19,7 @@
 from daisylift.decisions.limit_shares import LimitShares
 from daisylift.decisions.ranking import Location
 from daisylift.decisions.region_shift import RegionShiftLimiter
+from daisylift.decisions.response_memory import ResponseMemory
 from daisylift.decisions.retry_budget import RetryBudget, RetryLimits
 from daisylift.models.desired_state import CallerLimits
 from daisylift.models.registered_server import MAX_INCARNATION, EntryMember
@@ -126,7 +127,9 @@
         )
         self.peers = PeerExchange(self.member, self.view, self._clock)
         memory_bytes = settings.limits.memory_mb * BYTES_PER_MB
-        self.pool = ServerPool(BufferedBytes(int(RESPONSE_MEMORY_SHARE * memory_bytes)))
+        self.pool = ServerPool(
+            ResponseMemory(int(RESPONSE_MEMORY_SHARE * memory_bytes))
+        )
         self.view.on_server_gone(self.pool.remove_server)
         retry_limits = RetryLimits(
             bounds.budget_ratio, bounds.budget_extra_attempts, bounds.budget_window_s
--- a/packages/daisylift/src/daisylift/decisions/buffered_bytes.py
+++ b/packages/daisylift/src/daisylift/decisions/buffered_bytes.py
@@ -1,8 +1,8 @@
-"""Limits the memory used for buffered bodies on one entry VM.
+"""Limits the memory used for buffered bodies of requests on one entry VM.
 
-Load pattern: many callers send long bodies at once, or servers send endless responses.
-Without a limit, the process would be killed and all its requests lost. A request that
-does not fit is refused before it is read; a response that does not fit is aborted.
+Load pattern: many callers send long bodies at once. Without a limit, the process would
+be killed and all its requests lost. A request that does not fit is refused before it is
+read.
 """
 
 from dataclasses import dataclass
--- a/tests/test_server_connection.py
+++ b/tests/test_server_connection.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from daisylift.decisions.buffered_bytes import BufferedBytes
+from daisylift.decisions.response_memory import ResponseMemory
 from daisylift_node.connection.server_connection import (
     ExchangeLostError,
     NotSentError,
@@ -325,7 +325,7 @@
     listener = await asyncio.start_server(serve, '127.0.0.1', 0)
     port = listener.sockets[0].getsockname()[1]
     server = replace(ScriptedServer([]).registration(), port=port)
-    held = BufferedBytes(BUFFERED_LIMIT_BYTES)
+    held: ResponseMemory[ServerConnection] = ResponseMemory(BUFFERED_LIMIT_BYTES)
     pool = ServerPool(held)
     longest_turn_seconds = 0.0
 
@@ -348,5 +348,5 @@
     listener.close()
     assert [type(end) for end in ends] == [ExchangeLostError] * 8
     assert sent < MAX_SENT_BYTES
-    assert held.buffered == 0
+    assert held.held == 0
     assert longest_turn_seconds < MAX_TURN_CPU_SECONDS
