Keep deferred writes and the VM list of the own interface from ending in silence

On the own interface an unexpected error in one deferred write of an idempotency record ended the task that writes them, without a log line: records stayed 'running', and a repeat of a key was sent to its holder until that VM ended. An odd entry of the VM list raised KeyError or TypeError out of a client that promises typed failures, a report of load nested too deeply ended the poll of all servers for that period, and an error while client blocks were loaded ended the loading until the next version.

Now the writes run under the supervisor and go on with what is pending after a restart; a VM list that cannot be read is Uncertain as a whole, as a list without one of its VMs would give up its ordinal; RecursionError counts as an unreadable report; loading is tried again. daisylift_task_restarts and daisylift_timer_failures exist on both interfaces.

Evidence: test_a_failed_deferred_write_does_not_stop_the_others and the six cases of test_an_odd_vm_list_is_a_failure; the first also failed with the supervisor alone, because the restarted task waited for a wake-up that had been consumed. Open: an odd entry in the log of changes still holds the version that it names.

--- a/packages/daisylift-node/src/daisylift_node/process/application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/application.py
@@ -66,7 +66,7 @@
         self.settings = settings
         self.incarnation = new_incarnation()
         self.metrics = Metrics()
-        self.timer = TimerService()
+        self.timer = TimerService(self.metrics.count_timer_failure)
         self.platform = PlatformClient(settings.platform, self.metrics)
         self.peers = PeerLink(
             settings.peer, settings.vm.id, self.incarnation, self.metrics
--- a/packages/daisylift-node/src/daisylift_node/process/idempotency.py
+++ b/packages/daisylift-node/src/daisylift_node/process/idempotency.py
@@ -35,6 +35,7 @@
     StoredObject,
     Uncertain,
 )
+from daisylift_node.process.supervisor import TaskSupervisor
 
 RECORD_KIND = 'idempotency'
 MAX_CLAIM_CALLS = 4
@@ -73,16 +74,14 @@
         self._metrics = metrics
         self._pending: deque[tuple[str, Write]] = deque()
         self._wake = asyncio.Event()
-        self._task: asyncio.Task[None] | None = None
+        self._tasks = TaskSupervisor(metrics.count_task_restart)
 
     async def start(self) -> None:
         """Start to process the queue of deferred writes."""
-        self._task = asyncio.create_task(self._process_queue())
+        self._tasks.start('idempotency-writes', self._process_queue)
 
     async def stop(self) -> None:
         """Process the remaining deferred writes, for at most FLUSH_TIMEOUT_SECONDS."""
-        if self._task is None:
-            return
         try:
             async with asyncio.timeout(FLUSH_TIMEOUT_SECONDS):
                 while self._pending:
@@ -92,8 +91,7 @@
                 'stopped with {} deferred idempotency writes not done',
                 len(self._pending),
             )
-        self._task.cancel()
-        await asyncio.gather(self._task, return_exceptions=True)
+        await self._tasks.stop()
 
     async def claim(
         self,
@@ -188,11 +186,11 @@
 
     async def _process_queue(self) -> None:
         while True:
-            await self._wake.wait()
-            self._wake.clear()
             while self._pending:
                 await self._write_next()
                 await asyncio.sleep(PENDING_WRITES_PAUSE_SECONDS)
+            await self._wake.wait()
+            self._wake.clear()
 
     async def _write_next(self) -> None:
         _, write = self._pending.popleft()
--- a/packages/daisylift-node/src/daisylift_node/process/load.py
+++ b/packages/daisylift-node/src/daisylift_node/process/load.py
@@ -139,7 +139,7 @@
             try:
                 document = await self._fetch(key, server)
                 result = self._apply_document(key, document)
-            except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            except (aiohttp.ClientError, OSError, RecursionError, ValueError) as error:
                 logger.debug('load poll of {} failed: {!r}', key, error)
                 result = 'failed'
         self._metrics.load_polls.labels(result=result).inc()
--- a/packages/daisylift-node/src/daisylift_node/process/metrics.py
+++ b/packages/daisylift-node/src/daisylift_node/process/metrics.py
@@ -149,8 +149,28 @@
             buckets=LATENCY_BUCKETS_SECONDS,
             registry=self.registry,
         )
+        self._task_restarts = Counter(
+            'daisylift_task_restarts',
+            'Endless tasks of the process that ended and were run again.',
+            ['task'],
+            registry=self.registry,
+        )
+        self._timer_failures = Counter(
+            'daisylift_timer_failures',
+            'Periodic calls that ended with an unexpected error.',
+            ['call'],
+            registry=self.registry,
+        )
         self.configuration_version = Gauge(
             'daisylift_configuration_version',
             'The configuration version in force.',
             registry=self.registry,
         )
+
+    def count_task_restart(self, task: str) -> None:
+        """Count a task that ended although it should not, and is run again."""
+        self._task_restarts.labels(task=task).inc()
+
+    def count_timer_failure(self, call: str) -> None:
+        """Count a periodic call that ended with an unexpected error."""
+        self._timer_failures.labels(call=call).inc()
--- a/packages/daisylift-node/src/daisylift_node/process/platform.py
+++ b/packages/daisylift-node/src/daisylift_node/process/platform.py
@@ -6,9 +6,11 @@
 from typing import Any, Literal, TypeVar
 
 import aiohttp
+from pydantic import TypeAdapter
 from returns.result import Failure, Result, Success
 
 from daisylift_node.config import PlatformSettings
+from daisylift_node.connection.bounded_body import read_body
 from daisylift_node.platform import StoreClient
 from daisylift_node.process.metrics import Metrics
 from daisylift_node.version.documents import (
@@ -21,8 +23,11 @@
     StoredDocument,
     StoreError,
 )
+from daisylift_node.version.json_reader import read_json
 
 MAX_VALUE_BYTES = 1024 * 1024
+MAX_LIST_BYTES = 32 * 1024 * 1024
+MAX_REASON_CHARACTERS = 200
 VMS_PATH = '/v1/vms'
 RawT = TypeVar('RawT')
 ValueT = TypeVar('ValueT')
@@ -69,7 +74,14 @@
 
     id: str
     failure_domain: str
-    state: Literal['running', 'leaving']
+    state: str  # 'running' or 'leaving'
+
+
+@dataclass(frozen=True, slots=True)
+class VmList:
+    """All VMs that the platform lists."""
+
+    vms: tuple[Vm, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,6 +117,7 @@
     reason: str
 
 
+_VM_LIST = TypeAdapter(VmList)
 PlatformFailure = Conflict | Missing | Unavailable | HistoryGone | Uncertain
 JsonValue = Any
 
@@ -221,13 +234,11 @@
             ) as response:
                 if response.status != 200:
                     raise NotExecutedError(f'VM list: status {response.status}')
-                document = await response.json()
+                content = await read_body(response, MAX_LIST_BYTES)
+            return _VM_LIST.validate_python(read_json(content)).vms
         except (aiohttp.ClientError, OSError, ValueError) as error:
-            raise StoreError(f'VM list: {error!r}') from error
-        return tuple(
-            Vm(id=vm['id'], failure_domain=vm['failure_domain'], state=vm['state'])
-            for vm in document['vms']
-        )
+            # A list without one of its VMs would give up the VM's ordinal.
+            raise StoreError(f'VM list: {error!r}'[:MAX_REASON_CHARACTERS]) from error
 
 
 VALUE_TOO_LARGE = Unavailable(reason='the value is over a megabyte')
--- a/packages/daisylift-node/src/daisylift_node/version/block_store.py
+++ b/packages/daisylift-node/src/daisylift_node/version/block_store.py
@@ -76,7 +76,12 @@
 
     async def _load(self) -> None:
         while not self.is_loaded:
-            if not await self._load_changed_pages():
+            try:
+                is_done = await self._load_changed_pages()
+            except Exception:
+                logger.exception('client block pages not loaded; will try again')
+                is_done = False
+            if not is_done:
                 await asyncio.sleep(RETRY_SECONDS)
 
     async def _load_changed_pages(self) -> bool:
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -127,3 +127,18 @@
 async def test_unreadable_record_is_never_run(records, fake):
     fake.write(RECORD_KIND, 'n', {'state': 'nonsense'})
     assert await records.claim('n', 'f', OWN, None) == ClaimUncertain()
+
+
+# The task that writes ended with the first unexpected error, without a log line.
+async def test_a_failed_deferred_write_does_not_stop_the_others(records, fake, logs):
+    async def fail():
+        raise ValueError('broken')
+
+    held = await records.claim('n', 'f', OWN, None)
+    records._pending.append(('broken', fail))
+    records.queue_outcome('n', held.version, 'f', OWN, ExecutionState.ANSWERED, ANSWER)
+    state = ExecutionState.ANSWERED.value
+    await wait_until(
+        lambda: fake.objects[RECORD_KIND, 'n']['specification']['state'] == state
+    )
+    assert logs.first('task failed')['task'] == 'idempotency-writes'
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -105,3 +105,20 @@
         await client.create('things', name, name)
     page = (await client.list('things', after='a', limit=1)).unwrap()
     assert [found.name for found in page.objects] == ['b']
+
+
+# An entry of another form raised KeyError or TypeError instead.
+@pytest.mark.parametrize(
+    'vms',
+    [
+        7,
+        None,
+        [7],
+        [{}],
+        [{'id': 'a', 'failure_domain': 'b'}],
+        [{'id': 7, 'failure_domain': 'b', 'state': 'running'}],
+    ],
+)
+async def test_an_odd_vm_list_is_a_failure(fake, client, vms):
+    fake.vms = vms
+    assert isinstance((await client.list_vms()).failure(), Uncertain)
