Send nothing to servers that say they leave or want nothing for a while

Cause: both headers were passed on and not read.

Now platform/ decodes them, values that make no sense are ignored, logged and counted, and an answer 421 says nothing of the server that was meant. Availability (decisions) holds per start of a server: leaving until the start ends, the longest pause until its end. FleetView keeps it over lapses and returns of the store. Placement, waiting requests and a last check before the first byte respect it; Exclusion is the one place that says why a server is not eligible. If all want nothing, callers are refused at once with the earliest end, spread. After a pause nodes come back at times of their own, 50 a second together, with one request each until the server has run one.

--- a/packages/daisylift-admin/src/daisylift_admin/explain.py
+++ b/packages/daisylift-admin/src/daisylift_admin/explain.py
@@ -83,7 +83,7 @@
         return None
     try:
         document = json.loads(text[start:])
-    except ValueError:
+    except (RecursionError, ValueError):
         return None
     return document if isinstance(document, dict) else None
 
--- a/packages/daisylift-node/src/daisylift_node/connection/server_connection.py
+++ b/packages/daisylift-node/src/daisylift_node/connection/server_connection.py
@@ -7,6 +7,7 @@
 import asyncio
 import socket
 import struct
+from collections import Counter
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from typing import cast
@@ -65,6 +66,10 @@
     """No byte of the request was sent, so it did not run."""
 
 
+class WithdrawnError(NotSentError):
+    """The server was given up for the request before a byte was sent."""
+
+
 @dataclass(frozen=True, slots=True)
 class ServerRequest:
     """A request to a backend server."""
@@ -108,6 +113,11 @@
             for name, value in self.headers
         }
 
+    def repeated_headers(self) -> frozenset[str]:
+        """Return the lower-case names of headers that occur more than once."""
+        counts = Counter(name.decode('latin-1').lower() for name, _ in self.headers)
+        return frozenset(name for name, count in counts.items() if count > 1)
+
 
 class ServerConnection(asyncio.Protocol):
     """Sends requests to one backend server, one at a time."""
--- a/packages/daisylift-node/src/daisylift_node/connection/server_pool.py
+++ b/packages/daisylift-node/src/daisylift_node/connection/server_pool.py
@@ -16,6 +16,7 @@
     ServerConnection,
     ServerRequest,
     ServerResponse,
+    WithdrawnError,
 )
 
 CONNECT_TIMEOUT_SECONDS = 0.4  # ten round trips between regions
@@ -46,18 +47,23 @@
         request: ServerRequest,
         repeatable: bool,
         is_own_response: Callable[[ServerResponse], bool] = lambda response: True,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> ServerResponse:
         """Send the request and return the complete response.
 
         A request that may not be repeated is sent only over a new connection or one
         used within the last RECENTLY_USED_SECONDS. A response that belongs to another
         request closes the connection, because the right response may still follow on
-        it. Raise NotSentError, ExchangeLostError or UnsendableError.
+        it. ``may_send`` is asked once there is a connection. Raise NotSentError
+        (WithdrawnError if it may not be sent), ExchangeLostError or UnsendableError.
         """
         key = (server.id, server.started_at_ms)
         connection = self._take_idle(key, repeatable)
         if connection is None:
             connection = await self._open(server)
+        if not may_send():
+            connection.close()
+            raise WithdrawnError('the server takes no more requests')
         response = await connection.exchange(request, repeatable)
         if not is_own_response(response):
             connection.reset()
--- a/packages/daisylift-node/src/daisylift_node/platform/headers.py
+++ b/packages/daisylift-node/src/daisylift_node/platform/headers.py
@@ -2,7 +2,8 @@
 
 import math
 import re
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
+from typing import Any
 
 from daisylift.decisions.server_stats import LoadReport
 from daisylift_node.request.dialect import RawHeaders, RequestMetadata, ResponseMetadata
@@ -14,11 +15,16 @@
 NOT_EXECUTED = 'Not-Executed'  # any value: the presence of the header counts
 RESPONSE_STAMP = 'Response-Stamp'  # a MAC of the response
 LOAD = 'Server-Load'  # "running,waiting,slots"; newer servers add figures
+LEAVING = 'Server-Leaving'  # "1" in all answers of a server that leaves
+PAUSE = 'Retry-After'  # in a 503: seconds for which the server wants nothing
 LIMIT = 'Server-Limit'  # requests per second from all nodes together
 LOAD_FIGURES = 3
+_SECONDS = re.compile(r'[0-9]{1,6}(\.[0-9]{1,9})?')
 _FIGURE = re.compile('[0-9]{1,9}')
 MS_PER_SECOND = 1000.0
 MISDIRECTED_STATUS = 421
+TURNED_AWAY_STATUS = 503
+MAX_PAUSE_SECONDS = 3600.0
 HEADERS_SET_BY_NODE = frozenset(
     {REMAINING_TIME.lower().encode(), EXPECTED_SERVER.lower().encode()}
 )
@@ -50,11 +56,25 @@
         ]
 
     def read_response(
-        self, status: int, headers: Mapping[str, str]
+        self,
+        status: int,
+        headers: Mapping[str, str],
+        repeated: Collection[str] = (),
     ) -> ResponseMetadata:
-        """Return the metadata that the server sent with its response."""
+        """Return the metadata that the server sent with its response.
+
+        ``repeated`` are the names of headers that the response has more than once.
+        """
         limit_text = headers.get(LIMIT.lower())
         limit_per_second = _rate(limit_text)
+        statements = {LEAVING.lower(): headers.get(LEAVING.lower())}
+        if status == TURNED_AWAY_STATUS:
+            statements[PAUSE.lower()] = headers.get(PAUSE.lower())
+        value_by_name = {
+            name: None if name in repeated else STATEMENT_READERS[name](text)
+            for name, text in statements.items()
+            if text is not None
+        }
         return ResponseMetadata(
             request_id=headers.get(REQUEST_ID.lower()),
             is_stamped=RESPONSE_STAMP.lower() in headers,
@@ -63,6 +83,11 @@
             load=_load(headers.get(LOAD.lower())),
             limit_per_second=limit_per_second,
             has_unreadable_limit=limit_text is not None and limit_per_second is None,
+            is_leaving=value_by_name.get(LEAVING.lower()) is True,
+            pause_seconds=value_by_name.get(PAUSE.lower()),
+            unreadable_statements=tuple(
+                name for name, value in value_by_name.items() if value is None
+            ),
         )
 
 
@@ -86,6 +111,23 @@
     return rate if math.isfinite(rate) and rate >= 0.0 else None
 
 
+def _leaving(text: str) -> bool | None:
+    return True if text.strip() == '1' else None
+
+
+def _pause(text: str) -> float | None:
+    if not _SECONDS.fullmatch(text.strip()):
+        return None
+    seconds = float(text)
+    return seconds if seconds <= MAX_PAUSE_SECONDS else None
+
+
+STATEMENT_READERS: Mapping[str, Callable[[str], Any]] = {
+    LEAVING.lower(): _leaving,
+    PAUSE.lower(): _pause,
+}
+
+
 def _load(text: str | None) -> LoadReport | None:
     if text is None:
         return None
--- a/packages/daisylift-node/src/daisylift_node/process/entry_application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_application.py
@@ -380,6 +380,7 @@
             self.metrics.set_replica_revision(kind, replica.revision)
             self.metrics.set_unreadable(kind, self.view.unreadable_count(kind))
         self.metrics.set_store_era(self.store.era)
+        self.metrics.set_excluded_servers(self.view.exclusions())
         for service, queue in self.steering.queues_by_service.items():
             self.metrics.set_waiting(service, len(queue.waiters))
         return web.Response(body=self.metrics.exposition(), content_type='text/plain')
--- a/packages/daisylift-node/src/daisylift_node/process/entry_metrics.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_metrics.py
@@ -1,10 +1,13 @@
 """The Prometheus metrics of an entry VM."""
 
 import time
+from collections.abc import Mapping
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
 
+from daisylift_node.request.dialect import ResponseMetadata
+
 SECONDS_BUCKETS = (0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0)
 
 
@@ -74,6 +77,18 @@
             ('task',),
             registry=self.registry,
         )
+        self._statements = Counter(
+            'daisylift_server_statements',
+            'Responses in which servers said something of new requests.',
+            ('service', 'statement'),
+            registry=self.registry,
+        )
+        self._excluded_servers = Gauge(
+            'daisylift_excluded_servers',
+            'Registered servers that this VM sends nothing to now, by reason.',
+            ('service', 'reason'),
+            registry=self.registry,
+        )
         self._timer_failures = Counter(
             'daisylift_timer_failures',
             'Periodic calls that ended with an unexpected error.',
@@ -123,6 +138,21 @@
         """Set the number of objects of a kind that cannot be decoded."""
         self._unreadable.labels(kind).set(count)
 
+    def count_statements(self, service: str, metadata: ResponseMetadata) -> None:
+        """Count what a server said of new requests in a response."""
+        if metadata.is_leaving:
+            self._statements.labels(service, 'leaving').inc()
+        if metadata.pause_seconds is not None:
+            self._statements.labels(service, 'paused').inc()
+        if metadata.unreadable_statements:
+            self._statements.labels(service, 'unreadable').inc()
+
+    def set_excluded_servers(self, counts: Mapping[tuple[str, str], int]) -> None:
+        """Set the numbers of servers that get nothing now, by service and reason."""
+        self._excluded_servers.clear()
+        for (service, reason), count in counts.items():
+            self._excluded_servers.labels(service, reason).set(count)
+
     def set_lines_dropped(self, count: int) -> None:
         """Set the number of dropped log lines."""
         self._lines_dropped.set(count)
--- a/packages/daisylift-node/src/daisylift_node/request/dialect.py
+++ b/packages/daisylift-node/src/daisylift_node/request/dialect.py
@@ -1,6 +1,6 @@
 """Interface between the request path and the headers of callers and servers."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -26,6 +26,9 @@
     ``is_other_server``: another server has the address now. ``limit_per_second``: the
     requests per second that the server accepts from all nodes together, None if it
     names no limit; ``has_unreadable_limit``: it names one that cannot be decoded.
+    ``is_leaving``: the server takes no new requests until it starts again.
+    ``pause_seconds``: it turned the request away and wants nothing for so long.
+    ``unreadable_statements`` are the header names of those that make no sense.
     """
 
     request_id: str | None
@@ -35,6 +38,9 @@
     load: LoadReport | None
     limit_per_second: float | None = None
     has_unreadable_limit: bool = False
+    is_leaving: bool = False
+    pause_seconds: float | None = None
+    unreadable_statements: tuple[str, ...] = ()
 
 
 class Dialect(Protocol):
@@ -49,6 +55,12 @@
         """Return the headers to send to the server, with the remaining time."""
 
     def read_response(
-        self, status: int, headers: Mapping[str, str]
+        self,
+        status: int,
+        headers: Mapping[str, str],
+        repeated: Collection[str] = (),
     ) -> ResponseMetadata:
-        """Return what the server states; the header names are in lower case."""
+        """Return what the server states; the header names are in lower case.
+
+        ``repeated`` are the names of headers that the response has more than once.
+        """
--- a/packages/daisylift-node/src/daisylift_node/request/learning.py
+++ b/packages/daisylift-node/src/daisylift_node/request/learning.py
@@ -8,6 +8,7 @@
 from daisylift_node.request.dialect import ResponseMetadata
 
 SERVER_ERROR = 500
+RESPONSE_SOURCE = 'response'
 
 
 def learn_from_response(
@@ -45,6 +46,44 @@
         placement.region_stats.record_run(warm, placement.was_seen)
 
 
+def learn_availability(
+    placement: Placement,
+    metadata: ResponseMetadata,
+    node_count: int,
+    spread: float,
+    sent_at: float,
+    now: float,
+) -> bool:
+    """Record whether the server takes more requests; return whether that changed.
+
+    ``spread`` is a random number from 0 to 1. A response of another server at the
+    address says nothing of this one.
+    """
+    if metadata.is_other_server:
+        return False
+    server, availability = placement.server, placement.stats.availability
+    log = logger.bind(server=server.id, service=server.service)
+    if metadata.unreadable_statements:
+        log.bind(headers=metadata.unreadable_statements).warning(
+            'cannot decode what a server says of new requests, ignored'
+        )
+    is_changed = False
+    if metadata.is_leaving and availability.record_leaving():
+        log.bind(source=RESPONSE_SOURCE).info('server leaves')
+        is_changed = True
+    if metadata.pause_seconds and availability.record_pause(
+        metadata.pause_seconds, node_count, spread, now
+    ):
+        log.bind(
+            seconds=metadata.pause_seconds,
+            resumes_in=round(availability.resumes_at - now, 3),
+        ).info('server takes no requests for a while')
+        is_changed = True
+    if not metadata.was_not_run:
+        availability.record_run(sent_at)
+    return is_changed
+
+
 def learn_limit(
     placement: Placement, metadata: ResponseMetadata, sent_at: float, now: float
 ) -> bool:
--- a/packages/daisylift-node/src/daisylift_node/request/outcome.py
+++ b/packages/daisylift-node/src/daisylift_node/request/outcome.py
@@ -17,6 +17,7 @@
     RATE_LIMITED = 'the servers accept no more requests per second'
     WAITED_IN_VAIN = 'no slot became free in time'
     NO_SERVER = 'no backend server may serve the route'
+    PAUSED = 'the backend servers take no requests for now'
     UNREACHABLE = 'no backend server could be reached'
     SHED = 'the backend servers did not accept the request'
     ANSWER_LOST = 'the backend server did not answer completely'
--- a/packages/daisylift-node/src/daisylift_node/request/steering.py
+++ b/packages/daisylift-node/src/daisylift_node/request/steering.py
@@ -12,6 +12,7 @@
 
 from loguru import logger
 
+from daisylift.decisions.availability import retry_after_pause
 from daisylift.decisions.cold_start import ColdStartLimiter
 from daisylift.decisions.placement import Placement
 from daisylift.decisions.region_shift import PlacementScope, RegionShiftLimiter
@@ -29,13 +30,16 @@
     ServerRequest,
     ServerResponse,
     UnsendableError,
+    WithdrawnError,
 )
 from daisylift_node.connection.server_pool import ServerPool
 from daisylift_node.process.entry_metrics import EntryMetrics
 from daisylift_node.process.poison_requests import PoisonRequestRegister
 from daisylift_node.request.dialect import Dialect, ResponseMetadata
 from daisylift_node.request.learning import (
+    RESPONSE_SOURCE,
     SERVER_ERROR,
+    learn_availability,
     learn_from_response,
     learn_limit,
 )
@@ -49,9 +53,10 @@
 # To callers these statuses promise that the request did not run, so they are passed on
 # only from a server that states this.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-RESPONSE_SOURCE = 'response'
 ABANDONED_TIMEOUT_SECONDS = 10.0  # then an abandoned request's connection is closed
 
+_PlacementFuture = asyncio.Future[Placement | None]
+
 
 class Steering:
     """Steers requests based on this node's current view of the fleet."""
@@ -193,24 +198,10 @@
 
     async def _wait(self, call: SteeredCall, queue: WaitQueue) -> Placement | Outcome:
         now = self._clock()
-        if not self._view.placer(call.service).candidates_by_id:
-            return self._refuse(call, Reason.NO_SERVER, queue)
-        future: asyncio.Future[Placement] = asyncio.get_running_loop().create_future()
-
-        def wake() -> bool:
-            placement = None if future.done() else self._try_place(call)
-            if placement is None:
-                return False
-            future.set_result(placement)
-            return True
-
-        waiter = Waiter(
-            priority=call.route.priority,
-            target_at=call.target_at,
-            deadline_at=call.deadline_at,
-            work_seconds=self._work(call).warm_seconds,
-            wake=wake,
-        )
+        if self._is_unservable(call):
+            return self._refuse_unservable(call, queue)
+        future: _PlacementFuture = asyncio.get_running_loop().create_future()
+        waiter = self._make_waiter(call, future)
         home_regions = call.route.home_regions or None
         max_per_second = self._view.placer(call.service).limited_per_second(
             home_regions, now
@@ -223,17 +214,63 @@
         queue.add(waiter)
         try:
             async with asyncio.timeout(max(0.0, waiter.latest_start_at - now)):
-                return await future
+                placement = await future
+            return placement or self._refuse_unservable(call, queue)
         except TimeoutError:
             return self._refuse(call, Reason.WAITED_IN_VAIN, queue, max_per_second)
         except asyncio.CancelledError:
-            if future.done() and not future.cancelled():
+            if future.done() and not future.cancelled() and future.result():
                 self._release(call.service, future.result())
             raise
         finally:
             queue.remove(waiter)
             call.waited_seconds += self._clock() - now
 
+    def _make_waiter(self, call: SteeredCall, future: _PlacementFuture) -> Waiter:
+        """Return a waiter that ends with a placement, or None if there is none now."""
+
+        def wake() -> bool:
+            if future.done():
+                return False
+            placement = self._try_place(call)
+            if placement is None and not self._is_unservable(call):
+                return False
+            future.set_result(placement)
+            return True
+
+        return Waiter(
+            priority=call.route.priority,
+            target_at=call.target_at,
+            deadline_at=call.deadline_at,
+            work_seconds=self._work(call).warm_seconds,
+            wake=wake,
+        )
+
+    def _is_unservable(self, call: SteeredCall) -> bool:
+        """Return whether no server is there, or all want no requests for now."""
+        placer = self._view.placer(call.service)
+        if not placer.candidates_by_id:
+            return True
+        home_regions = call.route.home_regions or None
+        return placer.resumes_at(home_regions, self._clock()) is not None
+
+    def _refuse_unservable(self, call: SteeredCall, queue: WaitQueue) -> Outcome:
+        now = self._clock()
+        home_regions = call.route.home_regions or None
+        resumes_at = self._view.placer(call.service).resumes_at(home_regions, now)
+        if resumes_at is None:
+            return self._refuse(call, Reason.NO_SERVER, queue)
+        if call.may_have_run:
+            return Failed(Reason.PAUSED)
+        seconds = retry_after_pause(resumes_at - now, random.random())
+        return Refused(Reason.PAUSED, seconds, seconds, len(queue.waiters))
+
+    def _refuse_shed(self, call: SteeredCall) -> Outcome:
+        """Refuse a request that its servers have turned away."""
+        if self._is_unservable(call):
+            return self._refuse_unservable(call, self._queue(call.service))
+        return _refused_or_failed(call, Reason.SHED, 0.0)
+
     def _refuse(
         self,
         call: SteeredCall,
@@ -266,6 +303,9 @@
         try:
             async with asyncio.timeout(seconds):
                 response = await self._exchange(call, placement, request)
+        except WithdrawnError as error:
+            _log_attempt(call, stats, 'request not sent', str(error))
+            return SendResult(None, None, was_sent=False, was_withdrawn=True)
         except NotSentError as error:
             stats.mark_unreachable(self._clock())
             _log_attempt(call, stats, 'request not sent', str(error))
@@ -295,6 +335,16 @@
             has_object,
             now,
         )
+        if learn_availability(
+            placement,
+            metadata,
+            self._view.node_count,
+            random.random(),
+            started,
+            now,
+        ):
+            self._view.record_availability_change(server)
+        self._metrics.count_statements(server.service, metadata)
         previous_limit = stats.limit.per_second
         if learn_limit(placement, metadata, started, now):
             self._view.record_limit_change(
@@ -318,6 +368,7 @@
                 request,
                 repeatable,
                 lambda response: call.may_own(self._read_metadata(response)),
+                lambda: placement.stats.availability.exclusion(self._clock()) is None,
             )
         )
         task.add_done_callback(lambda _: self._release(call.service, placement))
@@ -332,12 +383,16 @@
             raise
 
     def _read_metadata(self, response: ServerResponse) -> ResponseMetadata:
-        return self._dialect.read_response(response.status, response.headers_by_name())
+        return self._dialect.read_response(
+            response.status, response.headers_by_name(), response.repeated_headers()
+        )
 
     def _evaluate(
         self, call: SteeredCall, placement: Placement, result: SendResult
     ) -> Outcome | None:
         """Return the final outcome, or None if the request may be sent again."""
+        if result.was_withdrawn:
+            return None
         if not result.was_sent:
             call.unreachable += 1
             if call.unreachable < MAX_UNREACHABLE_SERVERS:
@@ -346,9 +401,7 @@
         call.sends += 1
         response, metadata = result.response, result.metadata
         if response is not None and metadata is not None and metadata.was_not_run:
-            if self._may_send_again(call):
-                return None
-            return _refused_or_failed(call, Reason.SHED, 0.0)
+            return None if self._may_send_again(call) else self._refuse_shed(call)
         call.may_have_run = True
         answered = None
         if (
--- a/packages/daisylift-node/src/daisylift_node/version/fleet_view.py
+++ b/packages/daisylift-node/src/daisylift_node/version/fleet_view.py
@@ -1,10 +1,12 @@
 """The entry VM's current view of routes, backend servers, evacuations and members."""
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from loguru import logger
 
+from daisylift.decisions.availability import Availability, AvailabilityRegister
 from daisylift.decisions.cold_start import ColdStartLimiter
 from daisylift.decisions.limit_notices import LimitNotice, LimitNotices
 from daisylift.decisions.limit_shares import LimitShares
@@ -92,6 +94,7 @@
         self._entries_by_id: dict[str, _ServerEntry] = {}
         self._entries_by_incarnation: dict[int, _ServerEntry] = {}
         self._removed_by_id: dict[str, _ServerEntry] = {}
+        self._availability = AvailabilityRegister()
         self._unreadable_by_kind: dict[str, set[str]] = {}
         self._era_by_kind: dict[str, int] = {}
         self._held_servers = HeldNames(rewrite_seconds)
@@ -184,6 +187,22 @@
             )
         }
 
+    def record_availability_change(self, server: RegisteredServer) -> None:
+        """Apply what a server has said about new requests."""
+        entry = self._entries_by_id.get(server.id)
+        if entry is not None and _incarnation(entry.server) == _incarnation(server):
+            self._update_placer(entry)
+        self._notify_changed()
+
+    def exclusions(self) -> Counter[tuple[str, str]]:
+        """Return how many servers of a service take no requests, by reason."""
+        now = self._clock()
+        return Counter(
+            (entry.server.service, exclusion.value)
+            for entry in self._entries_by_id.values()
+            if (exclusion := entry.stats.exclusion(now)) is not None
+        )
+
     def record_limit_change(
         self,
         server: RegisteredServer,
@@ -325,21 +344,22 @@
             (
                 self._candidate(entry)
                 for entry in self._entries_by_id.values()
-                if entry.server.service == service and self._is_usable(entry.server)
+                if entry.server.service == service and self._is_usable(entry)
             ),
             limit_shares=self.limit_shares,
         )
 
-    def _is_usable(self, server: RegisteredServer) -> bool:
-        is_evacuated = server.failure_domain in self.evacuated_domains
-        return not server.leaving and not is_evacuated
+    def _is_usable(self, entry: _ServerEntry) -> bool:
+        is_evacuated = entry.server.failure_domain in self.evacuated_domains
+        is_leaving = entry.server.leaving or entry.stats.availability.is_leaving
+        return not is_leaving and not is_evacuated
 
     def _update_placer(self, entry: _ServerEntry) -> None:
         """Update the server in the placer of its service."""
         placer = self._placers_by_service.get(entry.server.service)
         if placer is None:
             return
-        if self._is_usable(entry.server):
+        if self._is_usable(entry):
             placer.put(self._candidate(entry))
         else:
             placer.remove(entry.server.id)
@@ -448,7 +468,10 @@
         if entry is None or not is_same:
             if entry is not None:
                 self._remove(entry)
-            entry = _ServerEntry(server, ServerStats(slots=server.slots), era=0)
+            stats = ServerStats(
+                slots=server.slots, availability=self._availability_of(server)
+            )
+            entry = _ServerEntry(server, stats, era=0)
             self._entries_by_id[server.id] = entry
             self._entries_by_incarnation[server.incarnation_id] = entry
         elif entry.server.leaving and not server.leaving:
@@ -463,6 +486,12 @@
             entry.stats.cold_until = max(entry.stats.cold_until, cold_until)
         self._update_placer(entry)
 
+    def _availability_of(self, server: RegisteredServer) -> Availability:
+        """Return what this start of the server has said about new requests."""
+        if not server.started_at_ms:
+            return Availability()  # its starts cannot be told apart
+        return self._availability.get((server.id, *_incarnation(server)))
+
     def _is_superseded(
         self, server: RegisteredServer, entry: _ServerEntry | None
     ) -> bool:
--- a/packages/daisylift/src/daisylift/decisions/placement.py
+++ b/packages/daisylift/src/daisylift/decisions/placement.py
@@ -19,6 +19,7 @@
 from dataclasses import dataclass
 from itertools import islice
 
+from daisylift.decisions.availability import Exclusion
 from daisylift.decisions.limit_shares import LimitShare, LimitShares
 from daisylift.decisions.ranking import Candidate, Location, Proximity, Rankings
 from daisylift.decisions.region_shift import PlacementScope
@@ -142,7 +143,7 @@
                 return False
             if not usable.get(candidate.server.id, True):
                 return False
-            if candidate.stats.is_suspended(now):
+            if candidate.stats.is_excluded(now):
                 return False
             return self._is_within_limit(candidate, now)
 
@@ -174,13 +175,32 @@
             self._limited_rates[key] = rate
         return rate.per_second
 
+    def resumes_at(self, allowed: Collection[str] | None, now: float) -> float | None:
+        """Return when the first server takes requests, if all want none for now.
+
+        ``allowed`` names the regions that may serve; None means any. Return None if a
+        server may take requests, or one that is only unreachable, or if there is none.
+        """
+        earliest: float | None = None
+        for candidate in self.candidates_by_id.values():
+            if allowed is not None and candidate.region not in allowed:
+                continue
+            exclusion = candidate.stats.exclusion(now)
+            if exclusion in (Exclusion.DISPLACED, Exclusion.LEAVING):
+                continue
+            if exclusion is not Exclusion.PAUSED:
+                return None
+            resumes_at = candidate.stats.availability.resumes_at
+            earliest = resumes_at if earliest is None else min(earliest, resumes_at)
+        return earliest
+
     def _compute_limited_rate(
         self, allowed: Collection[str] | None, now: float
     ) -> float | None:
         rate: float | None = None
         for candidate in self.candidates_by_id.values():
             is_allowed = allowed is None or candidate.region in allowed
-            if not is_allowed or candidate.stats.is_suspended(now):
+            if not is_allowed or candidate.stats.is_excluded(now):
                 continue
             per_second = candidate.stats.limit.per_second
             if per_second is None:
@@ -287,6 +307,8 @@
 
     def _has_capacity(self, candidate: Candidate, now: float) -> bool:
         stats = candidate.stats
+        if not stats.availability.has_capacity(stats.in_flight):
+            return False
         slots = stats.slots
         if candidate.region == self._location.region:
             limit = slots * (1.0 + SAME_REGION_QUEUE_SHARE)
--- a/packages/daisylift/src/daisylift/decisions/server_stats.py
+++ b/packages/daisylift/src/daisylift/decisions/server_stats.py
@@ -4,6 +4,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
+from daisylift.decisions.availability import Availability, Exclusion
 from daisylift.decisions.server_limits import ServerLimit
 
 LOAD_REPORT_DECAY_SECONDS = 0.6  # half of the reported load of others is stale by then
@@ -48,6 +49,7 @@
     responses: int = 0
     is_displaced: bool = False
     limit: ServerLimit = field(default_factory=ServerLimit)
+    availability: Availability = field(default_factory=Availability)
     _others_load: float = 0.0
     _others_load_updated_at: float = -math.inf
     _failure_rate: float = 0.0
@@ -75,9 +77,17 @@
         age = now - self._failure_rate_updated_at
         return self._failure_rate * math.exp(-age / FAILURE_DECAY_SECONDS)
 
-    def is_suspended(self, now: float) -> bool:
-        """Return whether the server is displaced or was unreachable a moment ago."""
-        return self.is_displaced or now < self.suspended_until
+    def exclusion(self, now: float) -> Exclusion | None:
+        """Return why no request may be sent to the server now, None if one may."""
+        if self.is_displaced:
+            return Exclusion.DISPLACED
+        if (said := self.availability.exclusion(now)) is not None:
+            return said
+        return Exclusion.UNREACHABLE if now < self.suspended_until else None
+
+    def is_excluded(self, now: float) -> bool:
+        """Return whether no request may be sent to the server now."""
+        return self.exclusion(now) is not None
 
     def is_cold(self, now: float) -> bool:
         """Return whether the server has started or come back recently."""
