Let servers of the soak say that they leave or want nothing for a while

The stand-ins of tests/fakes and the soak learn Server-Leaving and Retry-After; the soak draws them beside all other faults, apart from them, so that the faults of a seed stay as they were.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -68,6 +68,7 @@
         seconds = ABORT_AFTER_SECONDS if is_aborted else DEADLINE_MS / 1000.0 + 1.0
         sent_at = self.fleet.now()
         status, stamp, body, limited_server = None, '', b'', ''
+        leaving_server = ''
         try:
             async with session.request(
                 'POST' if prefix == 'o' else 'GET',
@@ -87,6 +88,8 @@
                 stamp = response.headers.get('Response-Stamp', '')
                 if 'Server-Limit' in response.headers:
                     limited_server = response.headers['Instance-Id']
+                if 'Server-Leaving' in response.headers:
+                    leaving_server = response.headers['Instance-Id']
         except (aiohttp.ClientError, TimeoutError):
             status = None  # no complete response; the ledger decides if that is allowed
         self.fleet.ledger.outcomes.append(
@@ -102,6 +105,7 @@
                 body=body,
                 is_aborted=is_aborted,
                 limited_server=limited_server,
+                leaving_server=leaving_server,
             )
         )
         return status is not None
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -14,6 +14,7 @@
 SLOW_LINK_SECONDS = 0.2
 REFUSED_STATUS = 429
 LOST_RESPONSES = 3
+TURNING_AWAY_SECONDS = 1.0
 MAX_COPY_SECONDS = 10.0  # age of the copy from which the store comes back
 MAX_LIMIT_PER_SECOND = 8.0
 LIMIT_FACTORS = {'keep': 1.0, 'raise': 2.0, 'lower': 0.4}
@@ -57,6 +58,9 @@
     if family == 'limit':
         await _name_limit(fleet, fault, effect)
         return
+    if family == 'says':
+        await _say_in_answers(fleet, fault, effect)
+        return
     if family == 'server':
         await _inject_server_fault(fleet, fault, effect)
         return
@@ -138,6 +142,17 @@
     fleet.name_limit(server, None)
 
 
+async def _say_in_answers(fleet: Fleet, fault: Fault, statement: str) -> None:
+    """Let a server say that it leaves, or turn requests away and ask for a pause."""
+    server = _pick(_serving(fleet), fault.target_fraction)
+    if statement == 'leaving':
+        await fleet.leave_by_answers(server)
+        return
+    server.pause_seconds = fault.duration_seconds
+    await asyncio.sleep(TURNING_AWAY_SECONDS)
+    server.pause_seconds = None
+
+
 async def _inject_server_fault(fleet: Fleet, fault: Fault, effect: str) -> None:
     server = _pick(_serving(fleet), fault.target_fraction)
     if effect.startswith('link_'):
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -133,6 +133,7 @@
         """Record which requests reached each server, for the checks."""
         for server in self.servers_by_id.values():
             self.ledger.arrivals_by_server[server.id] = server.arrivals
+            self.ledger.turned_away_by_server[server.id] = server.turned_away
 
     def read_logs(self) -> None:
         """Record the errors that the VMs logged, and lines that are not JSON."""
@@ -220,6 +221,16 @@
         self._remove_registration(server.id)
         await self.crash_server(server)
 
+    async def leave_by_answers(self, server: PlatformServer) -> None:
+        """As replace_server, but only the answers of the server say that it leaves."""
+        if server.says_leaving or server.id in (e.name for e in self.ledger.draining):
+            return
+        await self.add_server(server.service, server.failure_domain)
+        server.says_leaving = True
+        await asyncio.sleep(DRAINING_SECONDS)
+        self._remove_registration(server.id)
+        await self.crash_server(server)
+
     def _remove_registration(self, server_id: str) -> None:
         self.state_by_server.pop(server_id, None)
         if ('servers', server_id) in self.store.objects:
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -11,6 +11,7 @@
 from tests.fakes.platform_server import (
     ServerArrival,
     ServerRun,
+    TurnedAway,
     response_body,
     response_stamp,
 )
@@ -24,6 +25,8 @@
 LIMIT_MULTIPLIER = 1.5  # of the limit, that such a window may hold
 LIMIT_SLACK_REQUESTS = 5
 LIMIT_TOLD_SECONDS = 0.5  # a VM is bound this long after it passed on the limit
+PAUSE_TOLD_SECONDS = 0.5  # after which a VM knows that a server wants nothing
+PAUSE_MAX_REQUESTS = 2  # from one VM in the rest of a pause
 SERVED_SHARE = 0.9  # minimum share of the requests served in the final calm
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 NO_ROUTE_STATUS = 404
@@ -43,7 +46,8 @@
 
     ``status`` is None if no complete response was received. ``is_aborted`` is set if
     the caller aborted the request early. ``limited_server`` is the server that
-    answered, if it named a request rate limit.
+    answered, if it named a request rate limit, and ``leaving_server`` if it said that
+    it leaves.
     """
 
     request_id: str
@@ -57,6 +61,7 @@
     body: bytes = b''
     is_aborted: bool = False
     limited_server: str = ''
+    leaving_server: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,6 +140,7 @@
     versions: list[DesiredStateVersion] = field(default_factory=list)
     limits: list[NamedLimit] = field(default_factory=list)
     arrivals_by_server: dict[str, list[ServerArrival]] = field(default_factory=dict)
+    turned_away_by_server: dict[str, list[TurnedAway]] = field(default_factory=dict)
     unexpected_exits: list[str] = field(default_factory=list)
     errors: list[str] = field(default_factory=list)
     calm_since: float = float('inf')
@@ -170,6 +176,8 @@
         found += [Finding('no error', text) for text in self.errors]
         found += self._check_rollbacks()
         found += self._check_limits()
+        found += self._check_leaving_answers()
+        found += self._check_pauses()
         found += self._check_recovery()
         return found
 
@@ -363,6 +371,47 @@
             if changes:
                 yield LimitSpan(server_id, tuple(changes), float('inf'))
 
+    def _check_leaving_answers(self) -> Iterator[Finding]:
+        """Find requests that ran at a server after it told their VM that it leaves."""
+        told_at: dict[tuple[str, str], float] = {}
+        for outcome in sorted(self.outcomes, key=lambda each: each.ended_at):
+            if outcome.leaving_server:
+                key = outcome.vm, outcome.leaving_server
+                told_at.setdefault(key, outcome.ended_at)
+        for outcome in self.outcomes:
+            for run in self.runs_by_id[outcome.request_id]:
+                told = told_at.get((outcome.vm, run.server_id))
+                if told is None or outcome.sent_at <= told + DRAIN_LIMIT_SECONDS:
+                    continue
+                if self.was_undisturbed(told, run.at, outcome.vm, run.server_id):
+                    yield Finding(
+                        'leaving by answer',
+                        f'{outcome.request_id} ran on {run.server_id}',
+                    )
+
+    def _check_pauses(self) -> Iterator[Finding]:
+        """Find servers that got requests from a VM that they had asked for none."""
+        vm_by_request = {each.request_id: each.vm for each in self.outcomes}
+        for server_id, turned_away in self.turned_away_by_server.items():
+            arrivals = [
+                (vm_by_request.get(each.request_id), each.at)
+                for each in self.arrivals_by_server.get(server_id, ())
+            ]
+            for each in turned_away:
+                vm, end = (
+                    vm_by_request.get(each.request_id),
+                    each.at + each.pause_seconds,
+                )
+                if vm is None or not self.was_undisturbed(each.at, end, vm, server_id):
+                    continue
+                told = each.at + PAUSE_TOLD_SECONDS
+                count = sum(by == vm and told < at < end for by, at in arrivals)
+                if count > PAUSE_MAX_REQUESTS:
+                    yield Finding(
+                        'pause of a server',
+                        f'{server_id}: {count} from {vm} in a pause',
+                    )
+
     def _check_recovery(self) -> Iterator[Finding]:
         late = [each for each in self.outcomes if each.sent_at >= self.calm_since]
         served = sum(each.status == 200 for each in late)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -25,6 +25,9 @@
     'server_link_slow',
 )
 LIMIT_KINDS = ('limit_keep', 'limit_raise', 'limit_lower')
+STATEMENT_KINDS = ('says_leaving', 'says_paused')
+MAX_STATEMENT_SECONDS = 3.0  # of a pause
+MAX_STATEMENT_GAP_SECONDS = 4.0
 ADD_VM_KIND = 'add_vm'
 RETURN_KIND = 'store_return'
 MAX_RETURNS = 2
@@ -91,6 +94,22 @@
     return sorted(faults, key=lambda fault: fault.at)
 
 
+def make_statement_plan(seed: int, seconds: float) -> list[Fault]:
+    """Return what servers say in their answers: that they leave, or want nothing.
+
+    They are drawn apart from the other faults, which so stay the same for a seed.
+    """
+    rng = random.Random(f'statements/{seed}')
+    end = seconds - FINAL_CALM_SECONDS - MAX_STATEMENT_SECONDS
+    faults = []
+    at = rng.uniform(0.0, MAX_STATEMENT_GAP_SECONDS)
+    while at < end:
+        duration = rng.uniform(MIN_DURATION_SECONDS, MAX_STATEMENT_SECONDS)
+        faults.append(Fault(rng.choice(STATEMENT_KINDS), at, duration, rng.random()))
+        at += rng.uniform(0.0, MAX_STATEMENT_GAP_SECONDS)
+    return faults
+
+
 def make_return_plan(seed: int, seconds: float) -> list[Fault]:
     """Return the returns of the store from an older copy, each with a change after it.
 
--- a/tests/fakes/platform_server.py
+++ b/tests/fakes/platform_server.py
@@ -3,7 +3,8 @@
 It runs one request per slot, queues up to QUEUED_PER_SLOT requests per slot and rejects
 the rest with 503. The response body and stamp are derived from the server id and the
 request id, so that a response from a wrong server or to another request is detected.
-While it has a limit, it names it in every response, as the protocol says.
+While it has a limit, it names it in every response, as the protocol says; so it says
+that it leaves. While it has a pause, it turns requests away and asks for it.
 """
 
 import asyncio
@@ -40,6 +41,15 @@
     at: float
 
 
+@dataclass(frozen=True, slots=True)
+class TurnedAway:
+    """A request that a server turned away, wanting nothing for ``pause_seconds``."""
+
+    request_id: str
+    at: float
+    pause_seconds: float
+
+
 def response_body(server_id: str, request_id: str, path: str, size: int) -> bytes:
     """Return the response body of the server to the request, ``size`` bytes long."""
     line = f'{server_id} {request_id} {path}\n'.encode()
@@ -66,6 +76,9 @@
     lose_answers: bool = False
     spoil_answers: bool = False
     limit_per_second: float | None = None
+    says_leaving: bool = False
+    pause_seconds: float | None = None
+    turned_away: list[TurnedAway] = field(default_factory=list)
     arrivals: list[ServerArrival] = field(default_factory=list)
     port: int = 0
     born: int = 1
@@ -80,7 +93,8 @@
     async def start(self) -> None:
         """Start to serve; a restart uses the same port and keeps no state."""
         self._running = self._waiting = 0
-        self.limit_per_second = None
+        self.limit_per_second = self.pause_seconds = None
+        self.says_leaving = False
         self._free = asyncio.Semaphore(self.slots)
         self._handler = web.Server(
             self._handle, handler_cancellation=True, access_log=None
@@ -127,10 +141,16 @@
         headers = {'Request-Id': request_id, 'Instance-Id': self.id}
         if self.limit_per_second is not None:
             headers['Server-Limit'] = f'{self.limit_per_second:g}'
+        if self.says_leaving:
+            headers['Server-Leaving'] = '1'
         if request.headers.get('Target-Instance', self.id) != self.id:
             return web.Response(status=421, headers=headers)
         now = asyncio.get_running_loop().time()
         self.arrivals.append(ServerArrival(request_id, now))
+        if self.pause_seconds is not None:
+            self.turned_away.append(TurnedAway(request_id, now, self.pause_seconds))
+            headers['Retry-After'] = f'{self.pause_seconds:.3f}'
+            return web.Response(status=503, headers=headers | NOT_EXECUTED)
         if self._waiting >= self.slots * QUEUED_PER_SLOT:
             return web.Response(status=503, headers=headers | NOT_EXECUTED)
         await request.read()
--- a/tests/test_soak_ledger.py
+++ b/tests/test_soak_ledger.py
@@ -21,13 +21,16 @@
     FINAL_CALM_SECONDS,
     LIMIT_KINDS,
     PLANNED_KINDS,
+    STATEMENT_KINDS,
     UNPLANNED_KINDS,
     make_limit_plan,
     make_plan,
+    make_statement_plan,
 )
 from tests.fakes.platform_server import (
     ServerArrival,
     ServerRun,
+    TurnedAway,
     response_body,
     response_stamp,
 )
@@ -252,3 +255,45 @@
         assert all(fault.at + fault.duration_seconds <= end + 1e-9 for fault in plan)
         kinds |= {fault.kind for fault in plan}
     assert kinds == {*LIMIT_KINDS, ADD_VM_KIND}
+
+
+def test_a_server_that_said_it_leaves_and_is_still_used_is_found() -> None:
+    told = an_outcome(at=5.0, request_id='r0', leaving_server='i-1', status=503)
+    late = an_outcome(at=5.2 + DRAIN_LIMIT_SECONDS)
+    ledger = a_ledger(late, a_run(at=late.sent_at))
+    ledger.outcomes.append(told)
+    assert violated_guarantees(ledger) == {'leaving by answer'}
+    for component in ('entry-1', 'i-1'):
+        ledger.disturbances = [Disturbance(component, 6.0, 6.1)]
+        assert violated_guarantees(ledger) == set()
+    ledger.disturbances = [Disturbance('store', 6.0, 6.1)]
+    assert violated_guarantees(ledger) == {'leaving by answer'}
+    ledger.outcomes[0] = replace(late, vm='entry-2')
+    assert violated_guarantees(ledger) == set()
+
+
+def test_a_server_that_gets_requests_in_its_pause_is_found() -> None:
+    ids = [f'p{number}' for number in range(4)]
+    ledger = Ledger(versions=[OLD_VERSION])
+    ledger.outcomes = [an_outcome(request_id=each, status=503) for each in ids]
+    ledger.turned_away_by_server = {'i-1': [TurnedAway('p0', 5.0, 3.0)]}
+    ledger.arrivals_by_server = {
+        'i-1': [ServerArrival(each, 6.0 + 0.1 * n) for n, each in enumerate(ids)]
+    }
+    assert violated_guarantees(ledger) == {'pause of a server'}
+    ledger.disturbances = [Disturbance('entry-1', 6.5, 6.6)]
+    assert violated_guarantees(ledger) == set()
+    ledger.disturbances = []
+    ledger.arrivals_by_server['i-1'] = [ServerArrival(each, 5.4) for each in ids] + [
+        ServerArrival(each, 8.1) for each in ids
+    ]
+    assert violated_guarantees(ledger) == set()
+
+
+def test_a_statement_plan_depends_on_the_seed_and_ends_before_the_final_calm() -> None:
+    plan = make_statement_plan(7, 20.0)
+    assert plan == make_statement_plan(7, 20.0) != make_statement_plan(8, 20.0)
+    kinds = {each.kind for seed in range(9) for each in make_statement_plan(seed, 20.0)}
+    assert kinds == set(STATEMENT_KINDS)
+    for each in plan:
+        assert each.at + each.duration_seconds <= 20.0 - FINAL_CALM_SECONDS
