Read the headers of leaving and pauses only where a response has them

Counting all headers of each response twice cost processor time on every request, for two headers that few responses have.

--- a/packages/daisylift-node/src/daisylift_node/connection/server_connection.py
+++ b/packages/daisylift-node/src/daisylift_node/connection/server_connection.py
@@ -7,7 +7,6 @@
 import asyncio
 import socket
 import struct
-from collections import Counter
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from typing import cast
@@ -113,10 +112,10 @@
             for name, value in self.headers
         }
 
-    def repeated_headers(self) -> frozenset[str]:
-        """Return the lower-case names of headers that occur more than once."""
-        counts = Counter(name.decode('latin-1').lower() for name, _ in self.headers)
-        return frozenset(name for name, count in counts.items() if count > 1)
+    def count_headers(self, name: str) -> int:
+        """Return how many headers have this name, which is in lower case."""
+        encoded = name.encode('latin-1')
+        return sum(each.lower() == encoded for each, _ in self.headers)
 
 
 class ServerConnection(asyncio.Protocol):
--- a/packages/daisylift-node/src/daisylift_node/platform/headers.py
+++ b/packages/daisylift-node/src/daisylift_node/platform/headers.py
@@ -2,7 +2,7 @@
 
 import math
 import re
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 from daisylift.decisions.server_stats import LoadReport
@@ -17,6 +17,7 @@
 LOAD = 'Server-Load'  # "running,waiting,slots"; newer servers add figures
 LEAVING = 'Server-Leaving'  # "1" in all answers of a server that leaves
 PAUSE = 'Retry-After'  # in a 503: seconds for which the server wants nothing
+LEAVING_KEY, PAUSE_KEY = LEAVING.lower(), PAUSE.lower()
 LIMIT = 'Server-Limit'  # requests per second from all nodes together
 LOAD_FIGURES = 3
 _SECONDS = re.compile(r'[0-9]{1,6}(\.[0-9]{1,9})?')
@@ -59,21 +60,18 @@
         self,
         status: int,
         headers: Mapping[str, str],
-        repeated: Collection[str] = (),
+        count: Callable[[str], int] = lambda name: 1,
     ) -> ResponseMetadata:
         """Return the metadata that the server sent with its response.
 
-        ``repeated`` are the names of headers that the response has more than once.
+        ``count`` returns how many headers of a name the response has.
         """
         limit_text = headers.get(LIMIT.lower())
         limit_per_second = _rate(limit_text)
-        statements = {LEAVING.lower(): headers.get(LEAVING.lower())}
-        if status == TURNED_AWAY_STATUS:
-            statements[PAUSE.lower()] = headers.get(PAUSE.lower())
         value_by_name = {
-            name: None if name in repeated else STATEMENT_READERS[name](text)
-            for name, text in statements.items()
-            if text is not None
+            name: read(headers[name]) if count(name) == 1 else None
+            for name, read in STATEMENT_READERS.items()
+            if name in headers and (status == TURNED_AWAY_STATUS or name != PAUSE_KEY)
         }
         return ResponseMetadata(
             request_id=headers.get(REQUEST_ID.lower()),
@@ -83,8 +81,8 @@
             load=_load(headers.get(LOAD.lower())),
             limit_per_second=limit_per_second,
             has_unreadable_limit=limit_text is not None and limit_per_second is None,
-            is_leaving=value_by_name.get(LEAVING.lower()) is True,
-            pause_seconds=value_by_name.get(PAUSE.lower()),
+            is_leaving=value_by_name.get(LEAVING_KEY) is True,
+            pause_seconds=value_by_name.get(PAUSE_KEY),
             unreadable_statements=tuple(
                 name for name, value in value_by_name.items() if value is None
             ),
@@ -123,8 +121,8 @@
 
 
 STATEMENT_READERS: Mapping[str, Callable[[str], Any]] = {
-    LEAVING.lower(): _leaving,
-    PAUSE.lower(): _pause,
+    LEAVING_KEY: _leaving,
+    PAUSE_KEY: _pause,
 }
 
 
--- a/packages/daisylift-node/src/daisylift_node/request/dialect.py
+++ b/packages/daisylift-node/src/daisylift_node/request/dialect.py
@@ -1,6 +1,6 @@
 """Interface between the request path and the headers of callers and servers."""
 
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -42,6 +42,15 @@
     pause_seconds: float | None = None
     unreadable_statements: tuple[str, ...] = ()
 
+    @property
+    def says_something(self) -> bool:
+        """Return whether the server says something of new requests."""
+        return (
+            self.is_leaving
+            or self.pause_seconds is not None
+            or bool(self.unreadable_statements)
+        )
+
 
 class Dialect(Protocol):
     """Reads and writes the headers of callers and backend servers."""
@@ -58,9 +67,9 @@
         self,
         status: int,
         headers: Mapping[str, str],
-        repeated: Collection[str] = (),
+        count: Callable[[str], int] = lambda name: 1,
     ) -> ResponseMetadata:
         """Return what the server states; the header names are in lower case.
 
-        ``repeated`` are the names of headers that the response has more than once.
+        ``count`` returns how many headers of a name the response has.
         """
--- a/packages/daisylift-node/src/daisylift_node/request/learning.py
+++ b/packages/daisylift-node/src/daisylift_node/request/learning.py
@@ -62,6 +62,10 @@
     if metadata.is_other_server:
         return False
     server, availability = placement.server, placement.stats.availability
+    if not metadata.was_not_run:
+        availability.record_run(sent_at)
+    if not metadata.says_something:
+        return False
     log = logger.bind(server=server.id, service=server.service)
     if metadata.unreadable_statements:
         log.bind(headers=metadata.unreadable_statements).warning(
@@ -79,8 +83,6 @@
             resumes_in=round(availability.resumes_at - now, 3),
         ).info('server takes no requests for a while')
         is_changed = True
-    if not metadata.was_not_run:
-        availability.record_run(sent_at)
     return is_changed
 
 
--- a/packages/daisylift-node/src/daisylift_node/request/steering.py
+++ b/packages/daisylift-node/src/daisylift_node/request/steering.py
@@ -384,7 +384,7 @@
 
     def _read_metadata(self, response: ServerResponse) -> ResponseMetadata:
         return self._dialect.read_response(
-            response.status, response.headers_by_name(), response.repeated_headers()
+            response.status, response.headers_by_name(), response.count_headers
         )
 
     def _evaluate(
