Refuse settings that the fleet could not read, and log late failures of orders

The settings have the same bounds now, and a wrong one ends the start with one line.

The failure of an order whose caller had left was swallowed; it leaves a line with the id of the request. The own interface passes reports of libraries to its log as well; names of evacuated domains are cut in log lines.

--- a/packages/daisylift-node/src/daisylift_node/core.py
+++ b/packages/daisylift-node/src/daisylift_node/core.py
@@ -14,7 +14,7 @@
 from daisylift_node.entry_core import run_entry
 from daisylift_node.errors import SettingsError, StartError
 from daisylift_node.process.application import Application
-from daisylift_node.process.logs import configure_logs
+from daisylift_node.process.logs import capture_library_logs, configure_logs
 from daisylift_node.process.service import ApplicationService
 from daisylift_node.status import ExitStatus
 
@@ -56,6 +56,7 @@
 
 def _serve(settings: Settings, environment: Environment) -> ExitStatus:
     configure_logs(settings.log, environment.stderr, vm=settings.vm.id)
+    capture_library_logs()
     service = ApplicationService(application=Application(settings))
     stop_seconds = (
         max(settings.stop.announce_seconds, MAX_ANSWER_TTL_SECONDS)
--- a/packages/daisylift-node/src/daisylift_node/entry_config.py
+++ b/packages/daisylift-node/src/daisylift_node/entry_config.py
@@ -14,6 +14,8 @@
 from daisylift_node.errors import SettingsError
 
 MAX_PORT = 65535
+MAX_LINK_MBPS = 1e7
+MAX_CORES = 1e5
 STORE_SECTION = 'store'  # only settings of this kind have this section
 DEFAULT_CALLER_TTL_SECONDS = 2.0  # short: callers drop lost VMs soon, lookups are cheap
 
@@ -25,7 +27,7 @@
 
 
 class Address(BaseModel):
-    """An IP address and a port."""
+    """An IPv4 address and a port."""
 
     model_config = ConfigDict(frozen=True)
 
@@ -40,18 +42,24 @@
     if not isinstance(text, str):
         return text
     host, _, port = text.strip().rpartition(':')
-    ipaddress.ip_address(host)
-    return {'host': host, 'port': port}
+    return {'host': _check_ipv4_address(host), 'port': port}
+
+
+def _check_ipv4_address(text: str) -> str:
+    return str(ipaddress.IPv4Address(text))
 
 
 AddressText = Annotated[Address, BeforeValidator(_parse_address)]
 
 
+HostText = Annotated[str, BeforeValidator(_check_ipv4_address)]
+
+
 class VmSection(Section):
-    """The identity and location of this entry VM."""
+    """The identity and location of this entry VM, as it registers itself."""
 
-    id: str = Field(min_length=1)
-    host: str
+    id: str = Field(pattern='^[!-~]{1,253}$')
+    host: HostText
     failure_domain: str = Field(min_length=1)
     region: str = Field(min_length=1)
 
@@ -86,8 +94,8 @@
 
     memory_mb: float = Field(gt=0)
     file_descriptors: int = Field(gt=0)
-    link_mbps: float = Field(default=0.0, ge=0)
-    cores: float = Field(default=0.0, ge=0)
+    link_mbps: float = Field(default=0.0, ge=0, le=MAX_LINK_MBPS)
+    cores: float = Field(default=0.0, ge=0, le=MAX_CORES)
     core_share: float = Field(default=1.0, gt=0, le=1)
 
 
--- a/packages/daisylift-node/src/daisylift_node/request/steering.py
+++ b/packages/daisylift-node/src/daisylift_node/request/steering.py
@@ -9,6 +9,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import replace
+from functools import partial
 
 from loguru import logger
 
@@ -379,7 +380,7 @@
         except asyncio.CancelledError:
             loop = asyncio.get_running_loop()
             loop.call_later(ABANDONED_TIMEOUT_SECONDS, task.cancel)
-            task.add_done_callback(_ignore_late_failure)
+            task.add_done_callback(partial(_log_late_failure, call.request_id))
             raise
 
     def _read_metadata(self, response: ServerResponse) -> ResponseMetadata:
@@ -451,9 +452,12 @@
     ).info(message)
 
 
-def _ignore_late_failure(task: asyncio.Future[ServerResponse]) -> None:
-    if not task.cancelled():
-        task.exception()
+def _log_late_failure(request_id: str, task: asyncio.Future[ServerResponse]) -> None:
+    if task.cancelled() or (error := task.exception()) is None:
+        return
+    logger.bind(request_id=request_id, reason=repr(error)).info(
+        'response lost after its caller had left'
+    )
 
 
 def _refused_or_failed(
--- a/packages/daisylift-node/src/daisylift_node/version/fleet_view.py
+++ b/packages/daisylift-node/src/daisylift_node/version/fleet_view.py
@@ -545,8 +545,8 @@
             self._held_domains.release(domain)
         domains = stored.union(self._held_domains)
         logger.bind(
-            domains=sorted(domains),
-            held=sorted(self._held_domains),
+            domains=[each[:MAX_LOGGED_CHARACTERS] for each in sorted(domains)],
+            held=[each[:MAX_LOGGED_CHARACTERS] for each in sorted(self._held_domains)],
             at=self.evacuations.revision,
         ).info('evacuated failure domains changed')
         self.evacuated_domains = domains
--- a/tests/test_entry_path.py
+++ b/tests/test_entry_path.py
@@ -8,7 +8,7 @@
 from daisylift_node.version.fleet_view import LAPSE_GRACE_SECONDS
 from tests.entry_harness import EntryHarness, make_registration, make_rule
 from tests.fakes.scripted_server import Script, ScriptedServer, http_response
-from tests.utils import LogCapture
+from tests.utils import LogCapture, wait_until
 
 COMPLETE = http_response(b'whole', 'r-1', extra=('Server-Load: 1,0,4', 'X-Kept: yes'))
 
@@ -248,3 +248,16 @@
 
 def raise_value_error(*_: object) -> None:
     raise ValueError('broken')
+
+
+# The failure of an order that its caller no longer waits for left no line.
+async def test_an_order_lost_after_its_caller_left_is_logged(logs: LogCapture) -> None:
+    lost = Script(b'', after_seconds=0.3, close=True)
+    async with ScriptedServer([lost]) as server, EntryHarness() as harness:
+        await harness.configure(1, make_rule('/x/', 'till', 'unsafe'))
+        await harness.register(i_1=make_registration(server, 'till'))
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(harness.send('POST', data=b'1'), 0.1)
+        line = 'response lost after its caller had left'
+        await wait_until(lambda: logs.with_message(line))
+    assert logs.first(line)['request_id'] == 'r-1'
