--- a/packages/daisylift-node/src/daisylift_node/request/steering.py
+++ b/packages/daisylift-node/src/daisylift_node/request/steering.py
@@ -344,7 +344,7 @@
             started,
             now,
         ):
-            self._view.record_availability_change(server)
+            self._view.record_availability_change(server, stats.availability)
         self._metrics.count_statements(server.service, metadata)
         previous_limit = stats.limit.per_second
         if learn_limit(placement, metadata, started, now):
--- a/packages/daisylift-node/src/daisylift_node/version/fleet_view.py
+++ b/packages/daisylift-node/src/daisylift_node/version/fleet_view.py
@@ -187,8 +187,11 @@
             )
         }
 
-    def record_availability_change(self, server: RegisteredServer) -> None:
+    def record_availability_change(
+        self, server: RegisteredServer, availability: Availability
+    ) -> None:
         """Apply what a server has said about new requests."""
+        self._availability.remember(_start(server), availability)
         entry = self._entries_by_id.get(server.id)
         if entry is not None and _incarnation(entry.server) == _incarnation(server):
             self._update_placer(entry)
@@ -490,7 +493,7 @@
         """Return what this start of the server has said about new requests."""
         if not server.started_at_ms:
             return Availability()  # its starts cannot be told apart
-        return self._availability.get((server.id, *_incarnation(server)))
+        return self._availability.get(_start(server))
 
     def _is_superseded(
         self, server: RegisteredServer, entry: _ServerEntry | None
@@ -585,6 +588,10 @@
         self.members_by_name.pop(name, None)
 
 
+def _start(server: RegisteredServer) -> tuple[str, int, str, int, str]:
+    return (server.id, *_incarnation(server))
+
+
 def _incarnation(server: RegisteredServer) -> tuple[int, str, int, str]:
     return (server.started_at_ms, server.host, server.port, server.service)
 
--- a/packages/daisylift/src/daisylift/decisions/availability.py
+++ b/packages/daisylift/src/daisylift/decisions/availability.py
@@ -17,7 +17,7 @@
 MAX_RETURN_SECONDS = 5.0
 RETRY_SPREAD_SHARE = 0.25  # of the time until a server takes requests again
 MIN_RETRY_SPREAD_SECONDS = 0.2
-MAX_STARTS = 8192  # that are remembered; more than the servers of a large fleet
+MAX_STARTS = 8192  # whose statements are remembered
 
 
 class Exclusion(enum.Enum):
@@ -82,10 +82,10 @@
 
 @dataclass(slots=True)
 class AvailabilityRegister:
-    """The availability of each start of a server, also while it is not registered.
+    """The starts of servers that said something, also while they are not registered.
 
     A registration that lapses, or that the store brings back, does not undo what the
-    server itself said. The starts that were asked for least recently are forgotten.
+    server itself said. The starts that spoke least recently are forgotten.
     """
 
     max_starts: int = MAX_STARTS
@@ -93,11 +93,14 @@
 
     def get(self, start: Hashable) -> Availability:
         """Return the availability of this start; a new one takes requests."""
-        found = self._by_start.setdefault(start, Availability())
+        return self._by_start.get(start) or Availability()
+
+    def remember(self, start: Hashable, availability: Availability) -> None:
+        """Remember what this start has said."""
+        self._by_start[start] = availability
         self._by_start.move_to_end(start)
         while len(self._by_start) > self.max_starts:
             self._by_start.popitem(last=False)
-        return found
 
 
 def retry_after_pause(seconds: float, spread: float) -> float:
--- a/tests/test_availability.py
+++ b/tests/test_availability.py
@@ -26,6 +26,7 @@
 def test_a_leaving_server_takes_nothing_until_it_starts_again() -> None:
     register = AvailabilityRegister()
     said = register.get(('i-1', 1))
+    register.remember(('i-1', 1), said)
     assert said.record_leaving()
     assert not said.record_leaving()
     said.record_pause(1.0, NODES, 0.0, now=0.0)
@@ -73,14 +74,12 @@
     assert late.resumes_at <= 1.0 + MAX_RETURN_SECONDS
 
 
-def test_the_starts_asked_for_least_recently_are_forgotten() -> None:
+def test_the_starts_that_spoke_least_recently_are_forgotten() -> None:
     register = AvailabilityRegister(max_starts=2)
-    register.get('a').record_leaving()
-    register.get('b')
-    register.get('a')
-    register.get('c')
-    register.get('d')
-    assert not register.get('a').is_leaving
+    said_by_start = {name: Availability(is_leaving=True) for name in 'abc'}
+    for name in 'abac':
+        register.remember(name, said_by_start[name])
+    assert [register.get(name).is_leaving for name in 'abc'] == [True, False, True]
 
 
 def test_one_place_says_why_a_server_is_excluded() -> None:
@@ -120,6 +119,7 @@
     now, until, left = 0.0, -math.inf, False
     for step, seconds, passed in steps:
         said = register.get('start')  # as after a lapse and a new registration
+        register.remember('start', said)
         if step == 'leaving':
             said.record_leaving()
             left = True
--- a/tests/test_entry_availability.py
+++ b/tests/test_entry_availability.py
@@ -243,7 +243,7 @@
         async def leave_then_open(server: Any) -> Any:
             if server.id == 'i-1':
                 candidate.stats.availability.record_leaving()
-                view.record_availability_change(server)
+                view.record_availability_change(server, candidate.stats.availability)
             return await open_connection(server)
 
         monkeypatch.setattr(pool, '_open', leave_then_open)
