Name the request that fails beside a server's limit

The test now shows id, status, reason and seconds of each request that is not served; what it demands is the same.

--- a/tests/test_server_limit_overrun.py
+++ b/tests/test_server_limit_overrun.py
@@ -13,6 +13,7 @@
 from tests.fakes.platform import FakePlatform
 from tests.fakes.platform_server import PlatformServer
 
+HTTP_OK = 200
 VMS = 7
 REQUESTS_PER_SECOND = 70.0
 LOAD_SECONDS = 8.0
@@ -45,6 +46,7 @@
     harnesses: list[EntryHarness]
     stack: AsyncExitStack
     statuses: list[int] = field(default_factory=list)
+    failures: list[tuple[str, int, bytes, float]] = field(default_factory=list)
     _tasks: list[asyncio.Task[None]] = field(default_factory=list)
     _rng: random.Random = field(default_factory=lambda: random.Random(26))
 
@@ -76,8 +78,15 @@
         return [each.at for each in self.limited.arrivals if each.at >= moment]
 
     async def _send(self, harness: EntryHarness, key: str) -> None:
-        headers = {'Affinity-Key': key, 'Request-Id': f'r-{len(self._tasks)}'}
-        self.statuses.append((await harness.send(headers=headers)).status)
+        request_id = f'r-{len(self._tasks)}'
+        headers = {'Affinity-Key': key, 'Request-Id': request_id}
+        started = now()
+        response = await harness.send(headers=headers)
+        self.statuses.append(response.status)
+        if response.status != HTTP_OK:
+            seconds = now() - started
+            failure = (request_id, response.status, response.body, seconds)
+            self.failures.append(failure)
 
 
 @asynccontextmanager
@@ -129,7 +138,8 @@
     late = fleet.arrivals_since(started + STABILITY_SECONDS)
     assert most_in_window(late) <= bound(limit)
     assert len(late) >= 0.3 * limit * (LOAD_SECONDS - STABILITY_SECONDS)
-    assert set(fleet.statuses) == {200}
+    assert fleet.failures == []
+    assert set(fleet.statuses) == {HTTP_OK}
 
 
 async def test_a_cut_a_restarted_and_a_new_vm_do_not_overrun_a_limit() -> None:
