Reproduce requests that a planned stop cuts off, with real processes

Raw callers know when the last byte of a request was sent; the ledger of the soak finds a request that was sent whole, held for longer than loss_slack_ms and not answered.

--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -21,6 +21,7 @@
 EVACUATION_LIMIT_SECONDS = 5.0  # the same, for an evacuated failure domain
 CONFIG_LIMIT_SECONDS = 2.5  # the same, until a new desired state is in force
 ROLLBACK_TOLERANCE_SECONDS = 0.25  # an older version may seem in use this long
+LOSS_SLACK_SECONDS = 0.2  # a request may have crossed the end of its connection
 LIMIT_WINDOW_SECONDS = 4.0  # window in which requests to a limited server count
 LIMIT_MULTIPLIER = 1.5  # of the limit, that such a window may hold
 LIMIT_SLACK_REQUESTS = 5
@@ -47,7 +48,7 @@
     ``status`` is None if no complete response was received. ``is_aborted`` is set if
     the caller aborted the request early. ``limited_server`` is the server that
     answered, if it named a request rate limit, and ``leaving_server`` if it said that
-    it leaves.
+    it leaves. ``completed_at`` is when the last byte was sent, if the caller knows.
     """
 
     request_id: str
@@ -62,6 +63,14 @@
     is_aborted: bool = False
     limited_server: str = ''
     leaving_server: str = ''
+    completed_at: float | None = None
+
+    @property
+    def was_held(self) -> bool:
+        """Return whether it was sent whole and held longer than it can cross an end."""
+        if self.completed_at is None:
+            return False
+        return self.ended_at - self.completed_at > LOSS_SLACK_SECONDS
 
 
 @dataclass(frozen=True, slots=True)
@@ -264,10 +273,13 @@
         return {None} if outcome.status == NO_ROUTE_STATUS else None
 
     def _check_planned_stops(self, outcome: RequestOutcome) -> Iterator[Finding]:
-        """Find requests that ran but got no response, without any unplanned fault."""
+        """Find requests that ran or were held, but got no response.
+
+        Those that an unplanned fault may have ended are left out.
+        """
         if outcome.status is not None or outcome.is_aborted:
             return
-        if not self.runs_by_id[outcome.request_id]:
+        if not self.runs_by_id[outcome.request_id] and not outcome.was_held:
             return
         if self.was_undisturbed(
             outcome.sent_at - STABILITY_WINDOW_SECONDS, outcome.ended_at
