Log requests whose caller left or that the end of the process cut

A request whose handler was cancelled left no line, so nothing told where it had waited. It leaves `abandoned` now with its stage, and counts as an outcome.

--- a/packages/daisylift-node/src/daisylift_node/request/entry_handler.py
+++ b/packages/daisylift-node/src/daisylift_node/request/entry_handler.py
@@ -1,5 +1,6 @@
 """HTTP handler of the entry port: turns callers' requests into calls and responses."""
 
+import asyncio
 import json
 from collections.abc import Callable
 
@@ -74,6 +75,9 @@
                 outcome = result
         except web.HTTPRequestEntityTooLarge:
             outcome = Refused(Reason.BODY_TOO_LARGE)
+        except asyncio.CancelledError:
+            self._record_abandoned(call, self._clock() - arrived_at)
+            raise
         finally:
             self._buffered_bytes.release(size)
         self._record(request, call, outcome, self._clock() - arrived_at)
@@ -178,6 +182,26 @@
             )
         line.info(name)
 
+    def _record_abandoned(self, call: SteeredCall | None, seconds: float) -> None:
+        """Record a request whose caller left, or that the end of the process cut."""
+        stage = _stage(call)
+        service = call.service if call else ''
+        self._metrics.record_request(service, 'abandoned', stage, seconds)
+        logger.bind(
+            request_id=call.request_id if call else '',
+            service=service,
+            stage=stage,
+            stopping=self.is_stopping,
+            seconds=round(seconds, 4),
+        ).info('abandoned')
+
+
+def _stage(call: SteeredCall | None) -> str:
+    """Return how far a request came: its body, a wait for a slot, or a server."""
+    if call is None:
+        return 'reading'
+    return 'waiting' if call.placement is None else 'sent'
+
 
 def _placement_fields(placement: Placement | None) -> dict[str, object]:
     if placement is None:
--- a/soak/raw_callers.py
+++ b/soak/raw_callers.py
@@ -5,10 +5,10 @@
 """
 
 import asyncio
+import contextlib
 import itertools
 import random
 from collections.abc import AsyncIterator, Iterator
-from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
 from soak.fleet import EntryVm, Fleet
@@ -65,10 +65,8 @@
     async def call(self, vm: EntryVm, kinds: tuple[str, ...] = KINDS) -> None:
         """Send requests to one VM, one connection after the other."""
         while not self.is_stopping:
-            try:
+            with contextlib.suppress(OSError):  # it may not listen
                 await self._use_connection(vm, kinds)
-            except OSError:
-                pass  # not listening
             await asyncio.sleep(PAUSE_SECONDS)
 
     async def _use_connection(self, vm: EntryVm, kinds: tuple[str, ...]) -> None:
@@ -149,7 +147,7 @@
         )
 
 
-@asynccontextmanager
+@contextlib.asynccontextmanager
 async def _connection(
     vm: EntryVm,
 ) -> AsyncIterator[tuple[asyncio.StreamReader, asyncio.StreamWriter]]:
