Answer every request that was read before a planned stop ends

Cause: pre_shutdown() of the HTTP library, called to close idle connections, marks all of them as closing, and such a connection drops what it reads. The handler then waited for the body without a limit.

Now only idle connections close; others stay until their requests have answers. The phases are a pure decision (decisions/entry_stop.py). A body is awaited until the deadline of its request, or until the last pass if the request could outlast the process, and then refused as not run (503 with Retry-After); outside of a stop too, where a stalled body was held until its caller left. Connection: close is sent with the last of the pipelined responses.

The margins at the end of the grace period are shares of it now, so that short ones have them too.

--- /dev/null
+++ b/packages/daisylift-node/src/daisylift_node/connection/entry_connection.py
@@ -0,0 +1,57 @@
+"""One connection of a caller to an entry VM, which a planned stop ends in time.
+
+The only module that relies on private attributes of aiohttp's RequestHandler.
+"""
+
+from aiohttp import web
+
+NOT_READ = (
+    b'HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.3\r\n'
+    b'Connection: close\r\nContent-Length: 0\r\n\r\n'
+)
+
+
+class EntryConnection(web.RequestHandler):
+    """Tells whether it is idle; the HTTP library drops what it reads after a close."""
+
+    __slots__ = ('_has_partial_head',)
+
+    def __init__(self, *arguments: object, **keywords: object) -> None:
+        self._has_partial_head = False
+        super().__init__(*arguments, **keywords)  # type: ignore[arg-type]
+
+    def data_received(self, data: bytes) -> None:
+        """Parse the data (asyncio callback), and note an incomplete head."""
+        was_waiting = self._is_waiting
+        super().data_received(data)
+        if was_waiting and data:
+            self._has_partial_head = self._is_waiting
+
+    @property
+    def _is_waiting(self) -> bool:
+        """Return whether no request has been read since the last response."""
+        return self._waiter is not None and not self._waiter.done()
+
+    @property
+    def has_queued_requests(self) -> bool:
+        """Return whether further requests were read behind the current one."""
+        return bool(self._messages)
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request, or part of one, was read."""
+        if self._is_waiting and not self._has_partial_head:
+            self.force_close()
+
+    def refuse_partial_head(self) -> None:
+        """Answer that a request whose head was read in part has not run."""
+        if not self._is_waiting or not self._has_partial_head:
+            return
+        if self.transport is not None:
+            self.transport.write(NOT_READ)
+        self.force_close()
+
+
+def has_queued_requests(request: web.BaseRequest) -> bool:
+    """Return whether the caller has sent further requests behind this one."""
+    connection = request.protocol
+    return isinstance(connection, EntryConnection) and connection.has_queued_requests
--- a/packages/daisylift-node/src/daisylift_node/process/entry_application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_application.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import replace
 
 from aiohttp import web
@@ -16,6 +16,7 @@
 )
 from daisylift.decisions.cold_start import ColdStartLimiter, ColdStartLimits
 from daisylift.decisions.entry_directory import select_entry_addresses
+from daisylift.decisions.entry_stop import EntryStopPhase, EntryStopPlan
 from daisylift.decisions.limit_shares import LimitShares
 from daisylift.decisions.ranking import Location
 from daisylift.decisions.region_shift import RegionShiftLimiter
@@ -23,6 +24,7 @@
 from daisylift.decisions.retry_budget import RetryBudget, RetryLimits
 from daisylift.models.desired_state import CallerLimits
 from daisylift.models.registered_server import MAX_INCARNATION, EntryMember
+from daisylift_node.connection.entry_connection import EntryConnection
 from daisylift_node.connection.server_pool import ServerPool
 from daisylift_node.entry_config import DEFAULT_CALLER_TTL_SECONDS, EntrySettings
 from daisylift_node.platform import (
@@ -57,9 +59,6 @@
 REMOVE_LOST_PERIOD_SECONDS = 15.0
 LISTEN_BACKLOG = 1024
 BYTES_PER_MB = 1024 * 1024
-STOP_ACCEPT_SHARE = 0.5  # of the grace period; callers know other VMs by then
-LAST_PASS_SECONDS = 3.0  # after SIGTERM; later requests must end before the process
-STOP_MARGIN_SECONDS = 0.4  # end of the grace period, reserved for the process exit
 STOP_POLL_SECONDS = 0.02
 SIDE_STOP_SECONDS = 0.05  # short, as responses come from memory
 MS_PER_SECOND = 1000.0
@@ -205,43 +204,52 @@
         logger.bind(domains=len(settings.domains)).info('settings reloaded')
 
     async def stop(self) -> None:
-        """Stop without cutting off a request.
+        """Stop; each request that was read is served or refused as not run.
 
-        First report not ready, then stop accepting connections, then wait for requests
-        in flight and for unsent response bytes, until the grace period ends.
+        First report not ready, then stop accepting connections, then wait until all
+        connections have ended, at most until the end of the grace period.
         """
-        grace = self.settings.bounds.grace_s
-        started = self._clock()
-        logger.bind(grace_seconds=grace).info('stopping')
-        self.handler.is_stopping = True
-        ends_at = started + grace - STOP_MARGIN_SECONDS
-        accept_seconds = grace * STOP_ACCEPT_SHARE
-        self.steering.stop(started + min(accept_seconds, LAST_PASS_SECONDS), ends_at)
+        plan = EntryStopPlan(self._clock(), self.settings.bounds.grace_s)
+        logger.bind(grace_seconds=plan.grace_seconds).info('stopping')
+        self.handler.begin_stop(plan)
+        self.steering.begin_stop(plan)
         self.peers.liveness.ready = False
         await self.peers.send_gossip()
-        await asyncio.sleep(accept_seconds)
+        await asyncio.sleep(plan.accepts_until - self._clock())
         for listener in self._listeners:
             listener.close()
-        # Close idle connections now: shutdown() alone would keep them open, and
-        # accept requests on them, until the grace period ends.
-        self._caller_server.pre_shutdown()
-        transports = [
-            connection.transport
-            for connection in self._caller_server.connections
-            if connection.transport is not None
-        ]
-        remaining_seconds = ends_at - self._clock()
-        await self._caller_server.shutdown(max(remaining_seconds, STOP_POLL_SECONDS))
-        await self._wait_until_sent(transports, ends_at)
+        await self._finish_connections(plan)
+        await self._caller_server.shutdown(SIDE_STOP_SECONDS)
         await self._stop_side_servers()
         await self._tasks.stop()
         await self.timer.stop()
         await self.peers.stop()
         await self.store.stop()
         self.pool.close()
-        logger.bind(seconds=round(self._clock() - started, 2)).info('stopped')
+        seconds = round(self._clock() - plan.started_at, 2)
+        logger.bind(seconds=seconds).info('stopped')
         await self._lines.drain()
 
+    async def _finish_connections(self, plan: EntryStopPlan) -> None:
+        """Close idle connections, and wait until the others have their answers."""
+        transports: set[asyncio.Transport] = set()
+        while True:
+            phase = plan.phase(self._clock(), len(self._caller_server.connections))
+            if phase is EntryStopPhase.DONE:
+                break
+            for connection in self._entry_connections():
+                if connection.transport is not None:
+                    transports.add(connection.transport)
+                connection.close_if_idle()
+                if phase is EntryStopPhase.REFUSING:
+                    connection.refuse_partial_head()
+            await asyncio.sleep(STOP_POLL_SECONDS)
+        _log_cut_off(self._caller_server.connections, transports)
+
+    def _entry_connections(self) -> list[EntryConnection]:
+        connections = self._caller_server.connections
+        return [each for each in connections if isinstance(each, EntryConnection)]
+
     async def _stop_side_servers(self) -> None:
         """Close the readiness, directory and metrics servers, which run until the end.
 
@@ -253,22 +261,6 @@
             server.pre_shutdown()
             await server.shutdown(SIDE_STOP_SECONDS)
 
-    async def _wait_until_sent(
-        self, transports: Iterable[asyncio.Transport], ends_at: float
-    ) -> None:
-        """Wait for unsent response bytes, which the process exit would discard."""
-        unsent = [each for each in transports if each.get_write_buffer_size()]
-        while unsent and self._clock() < ends_at:
-            await asyncio.sleep(STOP_POLL_SECONDS)
-            unsent = [each for each in unsent if each.get_write_buffer_size()]
-        if unsent:
-            logger.bind(
-                connections=len(unsent),
-                bytes=sum(each.get_write_buffer_size() for each in unsent),
-            ).warning(
-                'responses cut off: unsent bytes remained when the grace period ended'
-            )
-
     @property
     def is_ready(self) -> bool:
         """Return whether callers should be sent to this VM."""
@@ -335,9 +327,9 @@
         routes = self.view.routes
         return routes.state.limits if routes else CallerLimits()
 
-    def _make_caller_connection(self) -> web.RequestHandler:
+    def _make_caller_connection(self) -> EntryConnection:
         limits = self._limits()
-        return web.RequestHandler(
+        return EntryConnection(
             self._caller_server,
             loop=asyncio.get_running_loop(),
             keepalive_timeout=limits.idle_timeout_seconds,
@@ -385,3 +377,14 @@
         for service, queue in self.steering.queues_by_service.items():
             self.metrics.set_waiting(service, len(queue.waiters))
         return web.Response(body=self.metrics.exposition(), content_type='text/plain')
+
+
+def _log_cut_off(
+    connections: Sequence[web.RequestHandler], transports: Iterable[asyncio.Transport]
+) -> None:
+    """Log what the end of the grace period cuts off, if anything."""
+    unsent_bytes = sum(each.get_write_buffer_size() for each in transports)
+    if connections:
+        logger.bind(connections=len(connections), bytes=unsent_bytes).warning(
+            'connections cut off: the grace period ended; bytes remained unsent'
+        )
--- a/packages/daisylift-node/src/daisylift_node/request/entry_handler.py
+++ b/packages/daisylift-node/src/daisylift_node/request/entry_handler.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import math
+import random
 from collections.abc import Callable
 
 from aiohttp import web
@@ -9,16 +11,20 @@
 from multidict import CIMultiDict
 
 from daisylift.decisions.buffered_bytes import BufferedBytes
+from daisylift.decisions.entry_stop import EntryStopPlan
 from daisylift.decisions.placement import Placement
 from daisylift.decisions.poison_requests import request_digest
 from daisylift.decisions.route_table import DestinationSelector
+from daisylift.decisions.wait_queue import retry_after_seconds
 from daisylift.models.desired_state import CallerLimits
+from daisylift_node.connection.entry_connection import has_queued_requests
 from daisylift_node.connection.server_connection import HOP_BY_HOP
 from daisylift_node.process.entry_metrics import EntryMetrics
 from daisylift_node.request.dialect import Dialect
 from daisylift_node.request.outcome import Answered, Failed, Outcome, Reason, Refused
 from daisylift_node.request.steered_call import SteeredCall
 from daisylift_node.request.steering import Steering
+from daisylift_node.request.wait_limits import WaitLimits
 from daisylift_node.version.fleet_view import FleetView
 
 DEFAULT_TIMEOUT_SECONDS = 30.0  # for requests without a time limit
@@ -48,7 +54,7 @@
         clock: Callable[[], float],
         buffered_bytes: BufferedBytes,
     ) -> None:
-        self.is_stopping = False
+        self._limits = WaitLimits()
         self._buffered_bytes = buffered_bytes
         self._view = view
         self._steering = steering
@@ -57,6 +63,15 @@
         self._clock = clock
         self._selector = DestinationSelector()
 
+    @property
+    def is_stopping(self) -> bool:
+        """Return whether a planned stop has begun."""
+        return self._limits.plan is not None
+
+    def begin_stop(self, plan: EntryStopPlan) -> None:
+        """Answer all requests in time for a planned stop."""
+        self._limits.begin_stop(plan)
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle one request of a caller."""
         arrived_at = self._clock()
@@ -82,7 +97,7 @@
             self._buffered_bytes.release(size)
         self._record(request, call, outcome, self._clock() - arrived_at)
         response = _response(outcome)
-        if self.is_stopping:
+        if self.is_stopping and not has_queued_requests(request):
             response.force_close()
         return response
 
@@ -116,13 +131,14 @@
         route = routes.match(request.headers.get('Host', ''), request.raw_path)
         if route is None or not route.destinations:
             return Refused(Reason.NO_ROUTE)
-        if request.headers.get('Expect', '').lower() == '100-continue':
-            await request.writer.write(b'HTTP/1.1 100 Continue\r\n\r\n')
-        body = await request.read() if request.can_read_body else b''
         metadata = self._dialect.read_request(request.headers)
         remaining_seconds = metadata.remaining_seconds
         if remaining_seconds is None:
             remaining_seconds = DEFAULT_TIMEOUT_SECONDS
+        deadline_at = arrived_at + min(remaining_seconds, route.timeout_seconds)
+        body = await self._read_body(request, deadline_at)
+        if body is None:
+            return self._refuse_late_body(deadline_at)
         object_key = None
         if route.sticky and metadata.object_key is not None:
             object_key = f'{route.kind.value}/{metadata.object_key}'
@@ -138,9 +154,30 @@
             object_key=object_key,
             digest=request_digest(service, request.method, request.raw_path, body, ''),
             arrived_at=arrived_at,
-            deadline_at=arrived_at + min(remaining_seconds, route.timeout_seconds),
+            deadline_at=deadline_at,
         )
 
+    async def _read_body(
+        self, request: web.BaseRequest, deadline_at: float
+    ) -> bytes | None:
+        """Return the body; None if it comes too late, or a stop leaves no time."""
+        if not request.can_read_body:
+            return b''
+        if self._limits.ends_by_stop_at(deadline_at) <= self._clock():
+            return None
+        if request.headers.get('Expect', '').lower() == '100-continue':
+            await request.writer.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+        try:
+            async with self._limits.limit(deadline_at, deadline_at):
+                return await request.read()
+        except TimeoutError:
+            return None
+
+    def _refuse_late_body(self, deadline_at: float) -> Refused:
+        if self._limits.ends_by_stop_at(deadline_at) == math.inf:
+            return Refused(Reason.TIMED_OUT)
+        return Refused(Reason.STOPPING, retry_after_seconds(0.0, random.random()))
+
     def _record(
         self,
         request: web.BaseRequest,
--- a/packages/daisylift-node/src/daisylift_node/request/steering.py
+++ b/packages/daisylift-node/src/daisylift_node/request/steering.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import math
 import random
 from collections.abc import Callable
 from dataclasses import replace
@@ -15,6 +14,7 @@
 
 from daisylift.decisions.availability import retry_after_pause
 from daisylift.decisions.cold_start import ColdStartLimiter
+from daisylift.decisions.entry_stop import EntryStopPlan
 from daisylift.decisions.placement import Placement
 from daisylift.decisions.region_shift import PlacementScope, RegionShiftLimiter
 from daisylift.decisions.retry_budget import RetryBudget
@@ -47,6 +47,7 @@
 from daisylift_node.request.outcome import Answered, Failed, Outcome, Reason, Refused
 from daisylift_node.request.send_result import SendResult
 from daisylift_node.request.steered_call import SteeredCall
+from daisylift_node.request.wait_limits import WaitLimits
 from daisylift_node.version.fleet_view import FleetView
 
 MIN_REMAINING_SECONDS = 0.02  # with less time remaining, a request is not sent
@@ -85,8 +86,7 @@
         self._clock = clock
         self._estimates = WorkEstimates()
         self.queues_by_service: dict[str, WaitQueue] = {}
-        self._last_pass_at = math.inf
-        self._ends_at = math.inf
+        self._limits = WaitLimits()
         view.on_change(self.wake_all)
 
     async def steer(self, call: SteeredCall) -> Outcome:
@@ -115,16 +115,15 @@
                 return outcome
             self._metrics.count_retry(call.service, result.reason)
 
-    def stop(self, last_pass_at: float, ends_at: float) -> None:
-        """Pass on no request that the end of the process might cut off.
-
-        From ``last_pass_at`` on, a request is sent to a server only if its deadline is
-        not after ``ends_at``, both by the clock of this object.
-        """
-        self._last_pass_at, self._ends_at = last_pass_at, ends_at
+    def begin_stop(self, plan: EntryStopPlan) -> None:
+        """Pass on no request that the end of the process might cut off."""
+        self._limits.begin_stop(plan)
 
     def _would_be_cut_off(self, call: SteeredCall) -> bool:
-        return self._clock() >= self._last_pass_at and call.deadline_at > self._ends_at
+        plan = self._limits.plan
+        return plan is not None and not plan.can_pass_on(
+            self._clock(), call.deadline_at
+        )
 
     def wake_all(self) -> None:
         """Retry the placement of waiting requests after slots or servers changed."""
--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from daisylift_node.process import entry_application
+from daisylift.decisions import entry_stop
 from tests.entry_harness import EntryHarness, make_registration, make_rule
 from tests.fakes.scripted_server import Script, ScriptedServer, http_response
 
@@ -80,7 +80,7 @@
     monkeypatch: pytest.MonkeyPatch, deadline_ms: int, status: int
 ) -> None:
     """Its body arrives late; the server is still at work when the process ends."""
-    monkeypatch.setattr(entry_application, 'LAST_PASS_SECONDS', 0.2)
+    monkeypatch.setattr(entry_stop, 'MAX_LAST_PASS_SECONDS', 0.2)
     async with (
         ScriptedServer([Script(RESPONSE)]) as server,
         EntryHarness(grace_seconds=GRACE_SECONDS) as harness,
