Refuse requests that wait for a slot when the last pass of a stop ends

Callers saw: a request that waited for a slot when the last pass ended was held until the process cut it, although it could not be sent any more. Cause: only a placed request was checked against the end of the process; the wait itself ended at its latest start. The limit of the wait ends with the last pass now, also for waits that began before the stop. The new test on the old code: the answer came after 2.52 s, at the cut, instead of 1.5 s.

--- a/packages/daisylift-node/src/daisylift_node/request/steering.py
+++ b/packages/daisylift-node/src/daisylift_node/request/steering.py
@@ -213,10 +213,12 @@
             return self._refuse(call, reason, queue, max_per_second)
         queue.add(waiter)
         try:
-            async with asyncio.timeout(max(0.0, waiter.latest_start_at - now)):
+            async with self._limits.limit(waiter.latest_start_at, call.deadline_at):
                 placement = await future
             return placement or self._refuse_unservable(call, queue)
         except TimeoutError:
+            if self._would_be_cut_off(call):
+                return _refused_or_failed(call, Reason.STOPPING, 0.0)
             return self._refuse(call, Reason.WAITED_IN_VAIN, queue, max_per_second)
         except asyncio.CancelledError:
             if future.done() and not future.cancelled() and future.result():
