Try again for a bounded time to open ports that are held

Operators saw: a VM started while another process held one of its ports, such as its predecessor in its planned stop, ended with `cannot start` and without the address. Cause: each port was bound once, and the first error ended the process.

Each port is tried again now while its address is in use, after 0.05 s at first and 0.5 s at most, with a log line for each try, until the start has taken the grace period and 2 s; then the process ends with an error that names the address. That holds for all six sockets; the UDP port is bound here, as uvloop does not tell why it could not bind one. The callers port is opened last. A stop that comes meanwhile ends the wait, where it was noticed only after the start.

--- a/packages/daisylift-node/src/daisylift_node/entry_core.py
+++ b/packages/daisylift-node/src/daisylift_node/entry_core.py
@@ -16,7 +16,7 @@
 
 from daisylift_node.context import Environment
 from daisylift_node.entry_config import EntrySettings, load_entry_settings
-from daisylift_node.errors import SettingsError
+from daisylift_node.errors import SettingsError, StartError
 from daisylift_node.process.bounded_lines import BoundedLines
 from daisylift_node.process.entry_application import EntryApplication
 from daisylift_node.process.logs import JsonLines, capture_library_logs
@@ -54,7 +54,7 @@
     gc.freeze()
     try:
         uvloop.run(_serve(settings, lines, path))
-    except OSError as error:
+    except (OSError, StartError) as error:
         environment.print_error(f'cannot start: {error}')
         return ExitStatus.ERROR
     return ExitStatus.SUCCESS
@@ -67,11 +67,35 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, application, path)
-    await application.start()
+    try:
+        has_started = await _start_unless_stopped(application, stopping)
+    except BaseException:
+        await application.close()
+        raise
+    if not has_started:
+        logger.info('stopped before all ports were open')
+        await application.close()
+        return
     await stopping.wait()
     await application.stop()
 
 
+async def _start_unless_stopped(
+    application: EntryApplication, stopping: asyncio.Event
+) -> bool:
+    """Start the application; return False if a stop came before it had its ports."""
+    starting = asyncio.ensure_future(application.start())
+    stopped = asyncio.ensure_future(stopping.wait())
+    await asyncio.wait((starting, stopped), return_when=asyncio.FIRST_COMPLETED)
+    stopped.cancel()
+    if starting.done():
+        starting.result()
+        return True
+    starting.cancel()
+    await asyncio.gather(starting, return_exceptions=True)
+    return False
+
+
 def _reload(application: EntryApplication, path: Path) -> None:
     try:
         application.reload(load_entry_settings(path))
--- a/packages/daisylift-node/src/daisylift_node/process/entry_application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_application.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import replace
 
 from aiohttp import web
@@ -18,6 +18,7 @@
 from daisylift.decisions.entry_directory import select_entry_addresses
 from daisylift.decisions.entry_stop import EntryStopPhase, EntryStopPlan
 from daisylift.decisions.limit_shares import LimitShares
+from daisylift.decisions.port_retry import PortRetry
 from daisylift.decisions.ranking import Location
 from daisylift.decisions.region_shift import RegionShiftLimiter
 from daisylift.decisions.response_memory import ResponseMemory
@@ -36,6 +37,7 @@
 )
 from daisylift_node.process.bounded_lines import BoundedLines
 from daisylift_node.process.entry_metrics import EntryMetrics
+from daisylift_node.process.open_ports import PortOpener
 from daisylift_node.process.peer_exchange import (
     GOSSIP_PERIOD_SECONDS,
     LIMITS_PERIOD_SECONDS,
@@ -165,26 +167,7 @@
     async def start(self) -> None:
         """Open the ports, follow the store and register this VM in it."""
         await self.store.start()
-        await self.peers.start()
-        listen = self.settings.listen
-        loop = asyncio.get_running_loop()
-        self._listeners = [
-            await loop.create_server(
-                self._make_caller_connection,
-                listen.caller.host,
-                listen.caller.port,
-                backlog=LISTEN_BACKLOG,
-            ),
-        ]
-        for handle, host, port in (
-            (self._readiness, listen.readiness.host, listen.readiness.port),
-            (self._directory, listen.directory.host, listen.directory.port),
-            (self._metrics_page, self.settings.vm.host, listen.metrics_port),
-        ):
-            server = web.Server(handle)
-            self._side_servers.append(server)
-            listener = await loop.create_server(server, host, port)
-            self._side_listeners.append(listener)
+        await self._open_ports()
         for replica in self.view.replicas_by_kind.values():
             self._tasks.start(f'follow-{replica.kind}', replica.follow)
         self._tasks.start('register', self._register)
@@ -198,6 +181,43 @@
         self.timer.subscribe(LOG_FLUSH_PERIOD_SECONDS, self._lines.drain)
         logger.bind(incarnation=self.member.incarnation).info('started')
 
+    async def _open_ports(self) -> None:
+        """Open all ports, the callers' port last: what it accepts can be answered."""
+        retry = PortRetry(self._clock(), self.settings.bounds.grace_s)
+        ports = PortOpener(retry, self._clock, self._lines.drain)
+        await self.peers.start(ports)
+        listen = self.settings.listen
+        for handle, host, port in (
+            (self._readiness, listen.readiness.host, listen.readiness.port),
+            (self._directory, listen.directory.host, listen.directory.port),
+            (self._metrics_page, self.settings.vm.host, listen.metrics_port),
+        ):
+            server = web.Server(handle)
+            self._side_servers.append(server)
+            self._side_listeners.append(await self._listen(ports, server, host, port))
+        caller = listen.caller
+        self._listeners.append(
+            await self._listen(
+                ports, self._make_caller_connection, caller.host, caller.port
+            )
+        )
+
+    async def _listen(
+        self,
+        ports: PortOpener,
+        make_connection: Callable[[], asyncio.BaseProtocol],
+        host: str,
+        port: int,
+    ) -> asyncio.Server:
+        loop = asyncio.get_running_loop()
+        return await ports.open(
+            host,
+            port,
+            lambda: loop.create_server(
+                make_connection, host, port, backlog=LISTEN_BACKLOG
+            ),
+        )
+
     def reload(self, settings: EntrySettings) -> None:
         """Apply the settings that can change at run time: the regions of domains."""
         self.view.set_domain_regions(settings.domains)
@@ -219,6 +239,15 @@
         for listener in self._listeners:
             listener.close()
         await self._finish_connections(plan)
+        await self.close()
+        seconds = round(self._clock() - plan.started_at, 2)
+        logger.bind(seconds=seconds).info('stopped')
+        await self._lines.drain()
+
+    async def close(self) -> None:
+        """Close everything at once, also after a start that was not completed."""
+        for listener in self._listeners:
+            listener.close()
         await self._caller_server.shutdown(SIDE_STOP_SECONDS)
         await self._stop_side_servers()
         await self._tasks.stop()
@@ -226,8 +255,6 @@
         await self.peers.stop()
         await self.store.stop()
         self.pool.close()
-        seconds = round(self._clock() - plan.started_at, 2)
-        logger.bind(seconds=seconds).info('stopped')
         await self._lines.drain()
 
     async def _finish_connections(self, plan: EntryStopPlan) -> None:
--- a/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
+++ b/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
@@ -39,6 +39,7 @@
     encode_limits,
     name_hash,
 )
+from daisylift_node.process.open_ports import PortOpener
 from daisylift_node.process.poison_requests import PoisonRequestRegister
 from daisylift_node.version.documents import (
     DocumentChange,
@@ -91,17 +92,17 @@
         self._members_at: Position | None = None
         view.watches_store = self.watches_store
 
-    async def start(self) -> None:
+    async def start(self, ports: PortOpener) -> None:
         """Open the peer port for UDP and TCP."""
-        loop = asyncio.get_running_loop()
         address = (self._member.peer_host, self._member.peer_port)
-        await loop.create_datagram_endpoint(lambda: self, local_addr=address)
+        await ports.open_datagrams(*address, self)
         self._session = aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=FETCH_TIMEOUT_SECONDS)
         )
         self._runner = web.ServerRunner(web.Server(self._serve_copy))
         await self._runner.setup()
-        await web.TCPSite(self._runner, *address).start()
+        runner = self._runner
+        await ports.open(*address, lambda: web.TCPSite(runner, *address).start())
 
     async def stop(self) -> None:
         """Cancel fetches and close all sockets."""
