Keep signals from ending a process while its event loop closes

Operators saw: a SIGHUP or a second SIGTERM at the end of a planned stop ended the process by that signal, status -1 or -15 instead of 0. Cause: the event loop sets the signals that it handles back to their default actions when it closes. They are blocked now, taken out of the loop and ignored before it closes.

--- a/packages/daisylift-node/src/daisylift_node/entry_core.py
+++ b/packages/daisylift-node/src/daisylift_node/entry_core.py
@@ -23,6 +23,7 @@
 from daisylift_node.status import ExitStatus
 
 SETTINGS_VARIABLE = 'DAISYLIFT_CONFIG'
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 def main(environment: Environment) -> ExitStatus:
@@ -61,10 +62,33 @@
 
 
 async def _serve(settings: EntrySettings, lines: BoundedLines, path: Path) -> None:
+    try:
+        await _run_until_stopped(settings, lines, path)
+    finally:
+        _ignore_signals()
+
+
+def _ignore_signals() -> None:
+    """Let nothing but SIGKILL end the rest of the process.
+
+    The event loop gives the signals that it handles their default actions when it
+    closes; they are blocked while they change hands.
+    """
+    numbers = (*STOP_SIGNALS, signal.SIGHUP)
+    signal.pthread_sigmask(signal.SIG_BLOCK, numbers)
+    loop = asyncio.get_running_loop()
+    for number in numbers:
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
+
+
+async def _run_until_stopped(
+    settings: EntrySettings, lines: BoundedLines, path: Path
+) -> None:
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     application = EntryApplication(settings, lines)
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in STOP_SIGNALS:
         loop.add_signal_handler(number, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, application, path)
     try:
--- a/tests/test_entry_start.py
+++ b/tests/test_entry_start.py
@@ -35,7 +35,7 @@
         env={'DAISYLIFT_CONFIG': str(settings)},
         stderr=asyncio.subprocess.PIPE,
     )
-    while not _ignores(process.pid, signal.SIGHUP):
+    while not ignores(process.pid, signal.SIGHUP):
         assert process.returncode is None, 'the process exited before it ignored SIGHUP'
         await asyncio.sleep(POLL_SECONDS)
     process.send_signal(signal.SIGHUP)
@@ -44,7 +44,7 @@
     assert b'error: ' in errors
 
 
-def _ignores(pid: int, number: signal.Signals) -> bool:
+def ignores(pid: int, number: signal.Signals) -> bool:
     """Return whether the process ignores the signal, according to /proc."""
     for line in Path(f'/proc/{pid}/status').read_text().splitlines():
         name, _, mask = line.partition(':')
