Add tenants to the model of the desired state

The parts for keys, homes, priority and usage caps of tenants build on these types, so they come first. Nothing reads them yet: without tenants in a desired state, the priority and the home regions of a request are those of its route, as before.

--- a/packages/daisylift-node/src/daisylift_node/request/steered_call.py
+++ b/packages/daisylift-node/src/daisylift_node/request/steered_call.py
@@ -4,7 +4,7 @@
 
 from daisylift.decisions.placement import Placement
 from daisylift.decisions.poison_requests import Digest
-from daisylift.models.desired_state import Route
+from daisylift.models.desired_state import Route, Tenant
 from daisylift_node.connection.server_connection import ServerResponse
 from daisylift_node.request.dialect import RawHeaders, ResponseMetadata
 
@@ -30,6 +30,7 @@
     digest: Digest
     arrived_at: float
     deadline_at: float
+    tenant: Tenant | None = None
     tried_server_ids: set[str] = field(default_factory=set)
     sends: int = 0
     unreachable: int = 0
@@ -43,6 +44,25 @@
         """Return the time by which the response should arrive."""
         return self.arrived_at + self.route.target_seconds
 
+    @property
+    def priority(self) -> int:
+        """Return the priority, 0 being the highest; that of a tenant goes first."""
+        if self.tenant is not None and self.tenant.priority is not None:
+            return self.tenant.priority
+        return self.route.priority
+
+    @property
+    def home_regions(self) -> frozenset[str] | None:
+        """Return the regions that may serve the request, None if all may.
+
+        The set is empty if the route and the tenant have no region in common.
+        """
+        route_homes = self.route.home_regions
+        tenant_homes = self.tenant.home_regions if self.tenant else frozenset()
+        if route_homes and tenant_homes:
+            return route_homes & tenant_homes
+        return route_homes or tenant_homes or None
+
     def may_own(self, metadata: ResponseMetadata) -> bool:
         """Return whether the response may belong to this request, not to another.
 
--- a/packages/daisylift-node/src/daisylift_node/request/steering.py
+++ b/packages/daisylift-node/src/daisylift_node/request/steering.py
@@ -150,7 +150,7 @@
         placer = self._view.placer(call.service)
         usable = self._view.cold_without_capacity(placer, now)
         usable.update(dict.fromkeys(call.tried_server_ids, False))
-        home_regions = call.route.home_regions or None
+        home_regions = call.home_regions
 
         def choose(scope: PlacementScope) -> Placement | None:
             estimate = self._work(call).estimate()
@@ -203,7 +203,7 @@
             return self._refuse_unservable(call, queue)
         future: _PlacementFuture = asyncio.get_running_loop().create_future()
         waiter = self._make_waiter(call, future)
-        home_regions = call.route.home_regions or None
+        home_regions = call.home_regions
         max_per_second = self._view.placer(call.service).limited_per_second(
             home_regions, now
         )
@@ -240,7 +240,7 @@
             return True
 
         return Waiter(
-            priority=call.route.priority,
+            priority=call.priority,
             target_at=call.target_at,
             deadline_at=call.deadline_at,
             work_seconds=self._work(call).warm_seconds,
@@ -252,12 +252,12 @@
         placer = self._view.placer(call.service)
         if not placer.candidates_by_id:
             return True
-        home_regions = call.route.home_regions or None
+        home_regions = call.home_regions
         return placer.resumes_at(home_regions, self._clock()) is not None
 
     def _refuse_unservable(self, call: SteeredCall, queue: WaitQueue) -> Outcome:
         now = self._clock()
-        home_regions = call.route.home_regions or None
+        home_regions = call.home_regions
         resumes_at = self._view.placer(call.service).resumes_at(home_regions, now)
         if resumes_at is None:
             return self._refuse(call, Reason.NO_SERVER, queue)
@@ -279,7 +279,7 @@
         queue: WaitQueue,
         max_per_second: float | None = None,
     ) -> Outcome:
-        wait = queue.expected_wait(self._clock(), call.route.priority, max_per_second)
+        wait = queue.expected_wait(self._clock(), call.priority, max_per_second)
         outcome = _refused_or_failed(call, reason, wait)
         if isinstance(outcome, Failed):
             return outcome
--- a/packages/daisylift/src/daisylift/models/desired_state.py
+++ b/packages/daisylift/src/daisylift/models/desired_state.py
@@ -31,7 +31,7 @@
 
     ``priority`` 0 is the highest. ``max_servers`` limits the number of backend servers
     that one request may be sent to. If ``home_regions`` is empty, any region may serve
-    the route.
+    the route. A public route needs no key of a tenant.
     """
 
     name: str
@@ -45,6 +45,25 @@
     priority: int
     sticky: bool
     home_regions: frozenset[str] = frozenset()
+    is_public: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    """A customer of the operator, whose callers send one of its keys.
+
+    Keys are held as SHA-256 digests. ``priority`` replaces that of the route; None
+    leaves it. ``requests_per_second`` and ``burst`` limit the requests of all its
+    callers at all entry VMs together; without a rate there is no limit. If
+    ``home_regions`` is empty, any region may serve the tenant.
+    """
+
+    name: str
+    key_digests: frozenset[bytes] = frozenset()
+    priority: int | None = None
+    requests_per_second: float | None = None
+    burst: float = 0.0
+    home_regions: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,9 +89,13 @@
 
 @dataclass(frozen=True, slots=True)
 class DesiredState:
-    """One complete version of the desired state."""
+    """One complete version of the desired state.
+
+    If there are tenants, a request needs a key of one, unless its route is public.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services_by_name: dict[str, ServiceConfig] = field(default_factory=dict)
     limits: CallerLimits = CallerLimits()
+    tenants_by_name: dict[str, Tenant] = field(default_factory=dict)
