--- a/packages/daisylift-node/src/daisylift_node/connection/pipelined_connection.py
+++ b/packages/daisylift-node/src/daisylift_node/connection/pipelined_connection.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from collections.abc import Callable
-from contextlib import suppress
 from typing import Any, Protocol
 
 from aiohttp import web
@@ -21,6 +20,7 @@
     QueuedRequest,
     count_startable,
 )
+from daisylift_node.connection.entry_connection import EntryConnection
 
 WRITE_STALL_SECONDS = 10.0  # then a caller that takes no byte of a response is cut off
 
@@ -75,7 +75,7 @@
         self.release()
 
 
-class PipelinedConnection(web.RequestHandler):
+class PipelinedConnection(EntryConnection):
     """One connection of a caller on the entry port."""
 
     def __init__(
@@ -95,9 +95,6 @@
         self._current: QueuedRequest | None = None
         self._arrived_at_by_key: dict[int, float] = {}
         self._early_by_key: dict[int, EarlyRun] = {}
-        self._no_early = asyncio.Event()
-        self._no_early.set()
-        self._closes_when_answered = False
         self._write_progress: tuple[int, float] | None = None
 
     def data_received(self, data: bytes) -> None:
@@ -113,39 +110,17 @@
         super().connection_lost(error)
         self._cancel_early()
 
-    def close(self) -> None:
-        """Close after the last request that has been started is answered."""
-        if self._early_by_key:
-            self._closes_when_answered = True
-            return
-        super().close()
-
     def force_close(self) -> None:
         """Close at once; requests that run early are cancelled."""
         self._cancel_early()
         super().force_close()
 
-    async def shutdown(self, timeout: float | None = 15.0) -> None:
-        """Close after the requests that have been started, within the timeout."""
-        self.close()
-        started = self._clock()
-        with suppress(TimeoutError):
-            async with asyncio.timeout(timeout):
-                await self._no_early.wait()
-        if timeout is not None:
-            timeout = max(0.0, timeout - (self._clock() - started))
-        await super().shutdown(timeout)
-
     def begin(self, request: EntryRequest) -> None:
         """Prepare a request whose turn has come."""
         key = id(request._message)
         request.arrived_at = self._arrived_at_by_key.pop(key, self._clock())
         request.early = self._early_by_key.pop(key, None)
         self._current = self._describe(request._message, request.content)
-        if not self._early_by_key:
-            self._no_early.set()
-            if self._closes_when_answered:
-                super().close()
         self._start_early()
 
     async def respond(self, request: EntryRequest) -> web.Response:
@@ -158,7 +133,7 @@
                 response = await early.task
             finally:
                 early.release()
-        if self._handler.is_stopping and not self._early_by_key:
+        if self._handler.is_stopping and not self.has_queued_requests:
             response.force_close()
         return response
 
@@ -205,7 +180,7 @@
     def _start_early(self) -> None:
         if len(self._messages) + (self._current is not None) < 2:
             return
-        if self._closes_when_answered or self._close or self._force_close:
+        if self._close or self._force_close:
             return
         queued: list[_Queued] = list(self._messages)
         current = self._current
@@ -234,7 +209,6 @@
         run = EarlyRun(self._early_requests)
         run.task = self._loop.create_task(self._run_early(request, run))
         self._early_by_key[id(message)] = run
-        self._no_early.clear()
 
     async def _run_early(self, request: EntryRequest, run: EarlyRun) -> web.Response:
         response = await self._handler.handle(request)
@@ -245,7 +219,6 @@
         for run in self._early_by_key.values():
             run.cancel()
         self._early_by_key.clear()
-        self._no_early.set()
 
 
 def _body_bytes(response: web.StreamResponse) -> int:
--- a/packages/daisylift-node/src/daisylift_node/request/entry_handler.py
+++ b/packages/daisylift-node/src/daisylift_node/request/entry_handler.py
@@ -1,6 +1,9 @@
 """HTTP handler of the entry port: turns callers' requests into calls and responses."""
 
+import asyncio
 import json
+import math
+import random
 from collections.abc import Callable
 
 from aiohttp import web
@@ -9,9 +12,11 @@
 from multidict import CIMultiDict
 
 from daisylift.decisions.buffered_bytes import BufferedBytes
+from daisylift.decisions.entry_stop import EntryStopPlan
 from daisylift.decisions.placement import Placement
 from daisylift.decisions.poison_requests import request_digest
 from daisylift.decisions.route_table import DestinationSelector
+from daisylift.decisions.wait_queue import retry_after_seconds
 from daisylift.models.desired_state import CallerLimits, RequestKind
 from daisylift_node.connection.pipelined_connection import EntryRequest
 from daisylift_node.connection.server_connection import HOP_BY_HOP
@@ -20,6 +25,7 @@
 from daisylift_node.request.outcome import Answered, Failed, Outcome, Reason, Refused
 from daisylift_node.request.steered_call import SteeredCall
 from daisylift_node.request.steering import Steering
+from daisylift_node.request.wait_limits import WaitLimits
 from daisylift_node.version.fleet_view import FleetView
 
 DEFAULT_TIMEOUT_SECONDS = 30.0  # for requests without a time limit
@@ -50,7 +56,7 @@
         buffered_bytes: BufferedBytes,
         unsent_bytes: BufferedBytes,
     ) -> None:
-        self.is_stopping = False
+        self._limits = WaitLimits()
         self._buffered_bytes = buffered_bytes
         self._unsent_bytes = unsent_bytes
         self._view = view
@@ -60,6 +66,15 @@
         self._clock = clock
         self._selector = DestinationSelector()
 
+    @property
+    def is_stopping(self) -> bool:
+        """Return whether a planned stop has begun."""
+        return self._limits.plan is not None
+
+    def begin_stop(self, plan: EntryStopPlan) -> None:
+        """Answer all requests in time for a planned stop."""
+        self._limits.begin_stop(plan)
+
     def may_run_early(self, message: RawRequestMessage) -> bool:
         """Return whether a request without a body may run before its turn.
 
@@ -89,6 +104,9 @@
                 outcome = result
         except web.HTTPRequestEntityTooLarge:
             outcome = Refused(Reason.BODY_TOO_LARGE)
+        except asyncio.CancelledError:
+            self._record_abandoned(call, self._clock() - arrived_at)
+            raise
         finally:
             self._buffered_bytes.release(size)
         self._record(request, call, outcome, self._clock() - arrived_at)
@@ -124,13 +142,14 @@
         route = routes.match(request.headers.get('Host', ''), request.raw_path)
         if route is None or not route.destinations:
             return Refused(Reason.NO_ROUTE)
-        if request.headers.get('Expect', '').lower() == '100-continue':
-            await request.writer.write(b'HTTP/1.1 100 Continue\r\n\r\n')
-        body = await request.read() if request.can_read_body else b''
         metadata = self._dialect.read_request(request.headers)
         remaining_seconds = metadata.remaining_seconds
         if remaining_seconds is None:
             remaining_seconds = DEFAULT_TIMEOUT_SECONDS
+        deadline_at = arrived_at + min(remaining_seconds, route.timeout_seconds)
+        body = await self._read_body(request, deadline_at)
+        if body is None:
+            return self._refuse_late_body(deadline_at)
         object_key = None
         if route.sticky and metadata.object_key is not None:
             object_key = f'{route.kind.value}/{metadata.object_key}'
@@ -146,9 +165,30 @@
             object_key=object_key,
             digest=request_digest(service, request.method, request.raw_path, body, ''),
             arrived_at=arrived_at,
-            deadline_at=arrived_at + min(remaining_seconds, route.timeout_seconds),
+            deadline_at=deadline_at,
         )
 
+    async def _read_body(
+        self, request: web.BaseRequest, deadline_at: float
+    ) -> bytes | None:
+        """Return the body; None if it comes too late, or a stop leaves no time."""
+        if not request.can_read_body:
+            return b''
+        if self._limits.ends_by_stop_at(deadline_at) <= self._clock():
+            return None
+        if request.headers.get('Expect', '').lower() == '100-continue':
+            await request.writer.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+        try:
+            async with self._limits.limit(deadline_at, deadline_at):
+                return await request.read()
+        except TimeoutError:
+            return None
+
+    def _refuse_late_body(self, deadline_at: float) -> Refused:
+        if self._limits.ends_by_stop_at(deadline_at) == math.inf:
+            return Refused(Reason.TIMED_OUT)
+        return Refused(Reason.STOPPING, retry_after_seconds(0.0, random.random()))
+
     def _record(
         self,
         request: web.BaseRequest,
@@ -190,6 +230,26 @@
             )
         line.info(name)
 
+    def _record_abandoned(self, call: SteeredCall | None, seconds: float) -> None:
+        """Record a request whose caller left, or that the end of the process cut."""
+        stage = _stage(call)
+        service = call.service if call else ''
+        self._metrics.record_request(service, 'abandoned', stage, seconds)
+        logger.bind(
+            request_id=call.request_id if call else '',
+            service=service,
+            stage=stage,
+            stopping=self.is_stopping,
+            seconds=round(seconds, 4),
+        ).info('abandoned')
+
+
+def _stage(call: SteeredCall | None) -> str:
+    """Return how far a request came: its body, a wait for a slot, or a server."""
+    if call is None:
+        return 'reading'
+    return 'waiting' if call.placement is None else 'sent'
+
 
 def _placement_fields(placement: Placement | None) -> dict[str, object]:
     if placement is None:
