--- a/packages/daisylift-node/src/daisylift_node/connection/entry_connection.py
+++ b/packages/daisylift-node/src/daisylift_node/connection/entry_connection.py
@@ -1,6 +1,6 @@
 """One connection of a caller to an entry VM, which a planned stop ends in time.
 
-The only module that relies on private attributes of aiohttp's RequestHandler.
+Relies, as its subclass does, on private attributes of aiohttp's RequestHandler.
 """
 
 from aiohttp import web
@@ -49,9 +49,3 @@
         if self.transport is not None:
             self.transport.write(NOT_READ)
         self.force_close()
-
-
-def has_queued_requests(request: web.BaseRequest) -> bool:
-    """Return whether the caller has sent further requests behind this one."""
-    connection = request.protocol
-    return isinstance(connection, EntryConnection) and connection.has_queued_requests
--- a/packages/daisylift-node/src/daisylift_node/request/entry_handler.py
+++ b/packages/daisylift-node/src/daisylift_node/request/entry_handler.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from aiohttp import web
+from aiohttp.http_parser import RawRequestMessage
 from loguru import logger
 from multidict import CIMultiDict
 
@@ -16,8 +17,8 @@
 from daisylift.decisions.poison_requests import request_digest
 from daisylift.decisions.route_table import DestinationSelector
 from daisylift.decisions.wait_queue import retry_after_seconds
-from daisylift.models.desired_state import CallerLimits
-from daisylift_node.connection.entry_connection import has_queued_requests
+from daisylift.models.desired_state import CallerLimits, RequestKind
+from daisylift_node.connection.pipelined_connection import EntryRequest
 from daisylift_node.connection.server_connection import HOP_BY_HOP
 from daisylift_node.process.entry_metrics import EntryMetrics
 from daisylift_node.request.dialect import Dialect
@@ -53,9 +54,11 @@
         metrics: EntryMetrics,
         clock: Callable[[], float],
         buffered_bytes: BufferedBytes,
+        unsent_bytes: BufferedBytes,
     ) -> None:
         self._limits = WaitLimits()
         self._buffered_bytes = buffered_bytes
+        self._unsent_bytes = unsent_bytes
         self._view = view
         self._steering = steering
         self._dialect = dialect
@@ -72,12 +75,23 @@
         """Answer all requests in time for a planned stop."""
         self._limits.begin_stop(plan)
 
-    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+    def may_run_early(self, message: RawRequestMessage) -> bool:
+        """Return whether a request without a body may run before its turn.
+
+        Only requests that may be repeated and have short responses do.
+        """
+        routes = self._view.routes
+        if self.is_stopping or routes is None or 'Expect' in message.headers:
+            return False
+        route = routes.match(message.headers.get('Host', ''), message.path)
+        return route is not None and route.kind is RequestKind.SAFE
+
+    async def handle(self, request: EntryRequest) -> web.Response:
         """Handle one request of a caller."""
-        arrived_at = self._clock()
+        arrived_at = request.arrived_at
         call: SteeredCall | None = None
         size = self._body_size(request)
-        if not self._buffered_bytes.reserve(size):
+        if self._unsent_bytes.is_full or not self._buffered_bytes.reserve(size):
             outcome: Outcome = Refused(Reason.MEMORY_FULL, STARTUP_RETRY_AFTER_SECONDS)
             self._record(request, call, outcome, 0.0)
             return _response(outcome)
@@ -96,10 +110,7 @@
         finally:
             self._buffered_bytes.release(size)
         self._record(request, call, outcome, self._clock() - arrived_at)
-        response = _response(outcome)
-        if self.is_stopping and not has_queued_requests(request):
-            response.force_close()
-        return response
+        return _response(outcome)
 
     async def _steer(self, call: SteeredCall) -> Outcome:
         """Steer the call; an unexpected error ends this call only, and is logged."""
