--- a/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
+++ b/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
@@ -89,6 +89,7 @@
         self._fetches: dict[str, asyncio.Task[None]] = {}
         self._names_by_hash: dict[int, str] = {}
         self._members_at: Position | None = None
+        self._is_watching: bool | None = None
         view.watches_store = self.watches_store
 
     async def start(self) -> None:
@@ -195,7 +196,20 @@
         now = self._clock()
         members = self._view.members_by_name
         live = {name for name in members if self.liveness.is_alive(name, now)}
-        return watches_store(self._member, members.values(), live)
+        is_watching = watches_store(self._member, members.values(), live)
+        self._record_role(is_watching, len(live))
+        return is_watching
+
+    def _record_role(self, is_watching: bool, live_count: int) -> None:
+        if is_watching == self._is_watching:
+            return
+        self._is_watching = is_watching
+        members = len(self._view.members_by_name)
+        logger.bind(live=live_count, members=members).info(
+            'watching the store for changes'
+            if is_watching
+            else 'relying on peers for changes of the store'
+        )
 
     def _queue_poison_notice(self, digest: Digest, crash_id: int) -> None:
         self._poison_notices.push(BreakNotice(digest, crash_id))
--- a/packages/daisylift-node/src/daisylift_node/version/replica.py
+++ b/packages/daisylift-node/src/daisylift_node/version/replica.py
@@ -83,6 +83,7 @@
         self._history_start = 0
         self._watch: asyncio.Task[DocumentChanges] | None = None
         self._refreshed_at = 0.0
+        self._answered_at = 0.0
         self._was_lost = False
 
     @property
@@ -133,7 +134,10 @@
                 await self._watch_once()
             except HistoryGoneError as error:
                 logger.bind(
-                    kind=self.kind, at=self.revision, reason=str(error)
+                    kind=self.kind,
+                    at=self.revision,
+                    reason=str(error),
+                    seconds_since_answer=round(self._seconds_since_answer(), 1),
                 ).warning(
                     'change history no longer available, listing all objects again'
                 )
@@ -287,7 +291,12 @@
         if self.apply_changes(batch, since) and batch.changes:
             await asyncio.sleep(BATCH_DELAY_SECONDS)
 
+    def _seconds_since_answer(self) -> float:
+        return asyncio.get_running_loop().time() - self._answered_at
+
     def _record_connection(self, connected: bool, reason: str) -> None:
+        if connected:
+            self._answered_at = asyncio.get_running_loop().time()
         if connected == self.is_connected:
             return
         self.is_connected = connected
