--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -45,6 +45,7 @@
 KILL_DELAY_SECONDS = 1.0  # after the grace time; the platform then kills the process
 RESTART_DELAY_SECONDS = 0.3  # from the end of a process to its restart
 START_TIMEOUT_SECONDS = 15.0  # starts are slow on a busy machine
+START_TIMEOUT_VMS = 10  # in larger fleets the time grows with the number of VMs
 POLL_PERIOD_SECONDS = 0.05
 DRAINING_SECONDS = 4.0  # how long a draining server still serves
 HEARTBEAT_SECONDS = 1.5  # interval in which a server writes its registration
@@ -97,14 +98,18 @@
     _server_numbers: itertools.count = field(default_factory=lambda: itertools.count(1))
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
-    async def start(self) -> None:
-        """Start the store, the servers and the VMs; return when all VMs are ready."""
+    async def start(self, *, writes_desired_state: bool = True) -> None:
+        """Start the store, the servers and the VMs; return when all VMs are ready.
+
+        Without ``writes_desired_state``, the caller has written one already.
+        """
         await self.store.start()
         for service in SERVICES:
             for number in range(self.servers_per_service):
                 domain = list(DOMAINS)[number % len(DOMAINS)]
                 await self.add_server(service, domain)
-        self.write_desired_state()
+        if writes_desired_state:
+            self.write_desired_state()
         for number in range(self.vm_count):
             vm = await self._make_vm(number)
             self.vms.append(vm)
@@ -336,7 +341,10 @@
     async def wait_until_ready(self, vm: EntryVm) -> None:
         """Wait until the VM reports readiness; raise SoakError after the timeout."""
         url = f'http://{vm.host}:{READINESS_PORT}/-/readiness'
-        deadline = self.now() + START_TIMEOUT_SECONDS
+        timeout_seconds = START_TIMEOUT_SECONDS * max(
+            1.0, len(self.vms) / START_TIMEOUT_VMS
+        )
+        deadline = self.now() + timeout_seconds
         async with aiohttp.ClientSession() as session:
             while self.now() < deadline:
                 try:
@@ -346,9 +354,7 @@
                 except aiohttp.ClientError:
                     pass  # not listening yet
                 await asyncio.sleep(POLL_PERIOD_SECONDS)
-        raise SoakError(
-            f'{vm.name} is not ready {START_TIMEOUT_SECONDS} s after its start'
-        )
+        raise SoakError(f'{vm.name} is not ready {timeout_seconds} s after its start')
 
     async def _restart(self, vm: EntryVm) -> None:
         await asyncio.sleep(RESTART_DELAY_SECONDS)
