Call the store when peers no longer confirm the copy of it

Cause: the others rely on the few that watch, and notice their loss only by heartbeats that stay away for 2 s (5 s above 40 VMs) and a look at the role each 0.5 s. Absent heartbeats say when a VM is gone, not since when a copy is no longer known to be complete.

Now each VM keeps the age of its copy (decisions/copy_age.py). A watch that waits at a store that has just answered keeps the age at 0; gossip carries the ages beside the positions, and counts only where the receiver's copy has the sender's position, in the same era. A VM that relies on peers calls the store when the age of a kind reaches 1.25 to 1.6 s, whoever failed and whatever the size of the fleet. It needs no heartbeats, so a watcher that the store refuses, or a copy that cannot be fetched, is covered as well. A VM that stood still (its own gossip is 1 s late by the clock that counts suspension) begins its watches anew before it confirms anything.

The ages take 8 bytes of a datagram; a datagram has one heartbeat less (23), so gossip stays below 6,000 bytes a second.

Weighed: more watchers in each domain (each costs a call per change, and all of them can be lost as well), stale reads (cheap, but of unknown age, so they bound nothing), polls of standby VMs each 2 s (9 calls a second at 24 VMs, 1,860 at 930).

--- a/packages/daisylift-node/src/daisylift_node/connection/gossip_codec.py
+++ b/packages/daisylift-node/src/daisylift_node/connection/gossip_codec.py
@@ -2,11 +2,12 @@
 
 A datagram starts with a header of three bytes: the version and the numbers of
 revisions and notices. It is followed by the revision of each kind in a fixed order, the
-eras of all kinds (8 bytes), notices of poison requests (24 bytes each), and heartbeat
-records of 13 bytes: the hash of the VM's name, incarnation, counter, and whether the VM
-is ready. Names are long, and all nodes have them from the store, so hashes are sent
-instead. Records with an unknown hash are skipped. The eras count as one more revision
-in the header: older nodes skip those beyond the kinds that they know, and send none.
+eras of all kinds (8 bytes), the ages of the copies of all kinds in milliseconds (8
+bytes), notices of poison requests (24 bytes each), and heartbeat records of 13 bytes:
+the hash of the VM's name, incarnation, counter, and whether the VM is ready. Names are
+long, and all nodes have them from the store, so hashes are sent instead. Records with
+an unknown hash are skipped. The eras and the ages count as one more revision each in
+the header: older nodes skip those beyond the kinds that they know, and send none.
 
 Limits that servers have named are sent in datagrams of their own, with a version that
 older nodes refuse: the version, the number of limits, and for each the server's
@@ -30,6 +31,8 @@
 KIND_COUNT = 4  # kinds of objects that the entry VMs copy from the store
 ERAS = struct.Struct(f'!{KIND_COUNT}H')
 MAX_ERA = 2**16 - 1
+AGES = struct.Struct(f'!{KIND_COUNT}H')
+UNKNOWN_AGE_MS = 2**16 - 1  # stands for this and every higher age
 LIMITS_VERSION = 3
 HEADER = struct.Struct('!BBB')
 REVISION = struct.Struct('!Q')
@@ -53,7 +56,8 @@
 class Gossip:
     """The content of one datagram.
 
-    Revisions and eras are in the order of the kinds; 0 means that there is none.
+    Revisions, eras and ages are in the order of the kinds; 0 means that there is no
+    revision or era. Ages are in seconds, infinite if the sender does not know one.
     """
 
     heartbeats: tuple[Heartbeat, ...]
@@ -61,6 +65,7 @@
     notices: tuple[BreakNotice, ...] = ()
     eras: tuple[int, ...] = ()
     limits: tuple[LimitNotice, ...] = ()
+    ages: tuple[float, ...] = ()
 
 
 def name_hash(name: str) -> int:
@@ -73,13 +78,19 @@
     revisions: Sequence[int],
     notices: Sequence[BreakNotice] = (),
     eras: Sequence[int] = (),
+    ages: Sequence[float] = (),
 ) -> bytes:
-    """Return the datagram; eras can be given if there are KIND_COUNT revisions."""
-    count = len(revisions) + bool(eras)
+    """Return the datagram.
+
+    Eras can be given if there are KIND_COUNT revisions, and ages if there are eras.
+    """
+    count = len(revisions) + bool(eras) + bool(ages)
     parts = [HEADER.pack(CODEC_VERSION, count, len(notices))]
     parts += [REVISION.pack(revision) for revision in revisions]
     if eras:
         parts.append(ERAS.pack(*(min(era, MAX_ERA) for era in eras)))
+    if ages:
+        parts.append(AGES.pack(*map(_age_ms, ages)))
     parts += [NOTICE.pack(each.digest, each.break_id) for each in notices]
     parts += [
         RECORD.pack(
@@ -110,6 +121,11 @@
         eras = ()
         if count > KIND_COUNT:
             eras = ERAS.unpack_from(data, HEADER.size + KIND_COUNT * REVISION.size)
+        ages = ()
+        if count > KIND_COUNT + 1:
+            ages = AGES.unpack_from(
+                data, HEADER.size + KIND_COUNT * REVISION.size + ERAS.size
+            )
         notices = tuple(
             BreakNotice(*NOTICE.unpack_from(data, notices_start + index * NOTICE.size))
             for index in range(notice_count)
@@ -124,7 +140,17 @@
         for hashed, incarnation, counter, ready in records
         if hashed in names_by_hash
     )
-    return Gossip(heartbeats, revisions, notices, eras=eras)
+    return Gossip(
+        heartbeats, revisions, notices, eras=eras, ages=tuple(map(_age_seconds, ages))
+    )
+
+
+def _age_ms(seconds: float) -> int:
+    return math.ceil(min(UNKNOWN_AGE_MS, seconds * MS_PER_SECOND))
+
+
+def _age_seconds(age_ms: int) -> float:
+    return math.inf if age_ms == UNKNOWN_AGE_MS else age_ms / MS_PER_SECOND
 
 
 def encode_limits(limits: Sequence[LimitNotice]) -> bytes:
--- a/packages/daisylift-node/src/daisylift_node/process/entry_application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_application.py
@@ -379,6 +379,7 @@
     async def _metrics_page(self, request: web.BaseRequest) -> web.Response:
         for kind, replica in self.view.replicas_by_kind.items():
             self.metrics.set_replica_revision(kind, replica.revision)
+            self.metrics.set_replica_age(kind, replica.age_seconds())
             self.metrics.set_unreadable(kind, self.view.unreadable_count(kind))
         self.metrics.set_store_era(self.store.era)
         self.metrics.set_excluded_servers(self.view.exclusions())
--- a/packages/daisylift-node/src/daisylift_node/process/entry_metrics.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_metrics.py
@@ -65,6 +65,12 @@
             ('kind',),
             registry=self.registry,
         )
+        self._replica_age = Gauge(
+            'daisylift_replica_age_seconds',
+            'Time since the copy of the store was known to be complete, by kind.',
+            ('kind',),
+            registry=self.registry,
+        )
         self._store_era = Gauge(
             'daisylift_store_era',
             'Latest era that the store named; it increases when the store comes back '
@@ -161,6 +167,10 @@
         """Set the revision of the local copy of a kind."""
         self._revision.labels(kind).set(revision)
 
+    def set_replica_age(self, kind: str, seconds: float) -> None:
+        """Set for how long the local copy of a kind was not known to be complete."""
+        self._replica_age.labels(kind).set(seconds)
+
     def set_store_era(self, era: int) -> None:
         """Set the latest era of the store."""
         self._store_era.set(era)
--- a/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
+++ b/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
@@ -1,14 +1,16 @@
 """Gossip between entry VMs, and exchange of their copies of the store.
 
-Heartbeats, poison notices, revisions and limits of servers are sent in datagrams. A VM
-whose copy stays behind that of a peer fetches the peer's copy over HTTP, so that VMs
-that the store refuses to serve stay up to date too.
+Heartbeats, poison notices, revisions and limits of servers are sent in datagrams, and
+how long ago the sender's copies were known to be complete. A VM whose copy stays behind
+that of a peer fetches the peer's copy over HTTP, so that VMs that the store refuses to
+serve stay up to date too.
 """
 
 import asyncio
 import random
+import time
 from collections.abc import Callable, Mapping
-from itertools import zip_longest
+from itertools import starmap, zip_longest
 from typing import Any, cast
 
 import aiohttp
@@ -53,6 +55,8 @@
 
 GOSSIP_PERIOD_SECONDS = 0.25
 LIMITS_PERIOD_SECONDS = 0.5
+FROZEN_SECONDS = 1.0  # without a gossip message of its own, a VM has stood still
+ROLE_SECONDS = 0.2  # for which the role of this VM is not looked at again
 FETCH_DELAY_SECONDS = 0.3  # this VM's own watch has usually caught up by then
 FETCH_TIMEOUT_SECONDS = 1.0
 MAX_COPY_BYTES = 32 * 1024 * 1024
@@ -90,6 +94,8 @@
         self._names_by_hash: dict[int, str] = {}
         self._members_at: Position | None = None
         self._is_watching: bool | None = None
+        self._role_at = 0.0
+        self._sent_at = _time_with_suspension()
         view.watches_store = self.watches_store
 
     async def start(self) -> None:
@@ -145,18 +151,26 @@
         for limit in gossip.limits:
             self._view.apply_limit_notice(limit, now)
         url = f'http://{address[0]}:{address[1]}'
-        replicas = self._view.replicas_by_kind.values()
-        positions = zip_longest(gossip.eras, gossip.revisions, fillvalue=0)
+        replicas = list(self._view.replicas_by_kind.values())
+        positions = list(
+            starmap(Position, zip_longest(gossip.eras, gossip.revisions, fillvalue=0))
+        )
         for replica, position in zip(replicas, positions, strict=False):
-            self._fetch_if_behind(replica, Position(*position), url, now)
+            self._fetch_if_behind(replica, position, url, now)
+        for replica, position, age in zip(
+            replicas, positions, gossip.ages, strict=False
+        ):
+            replica.confirm(position, age)
 
     async def send_gossip(self) -> None:
         """Send heartbeats, revisions and poison notices to some peers."""
         if self._transport is None:
             return
         now = self._clock()
+        self._check_if_frozen()
         self._update_members()
-        changed = [each.last_change for each in self._view.replicas_by_kind.values()]
+        replicas = self._view.replicas_by_kind.values()
+        changed = [each.last_change for each in replicas]
         data = encode(
             self.liveness.heartbeats_to_send(now, self._rng, self._reported_names()),
             [position.revision for position in changed],
@@ -166,9 +180,25 @@
                 else MAX_NOTICES_PER_DATAGRAM
             ),
             [position.era for position in changed],
+            [each.age_seconds() for each in replicas],
         )
         self._send_to_peers(data)
 
+    def _check_if_frozen(self) -> None:
+        """Begin all watches anew if this VM has stood still, and may have missed much.
+
+        Until the store answers them, this VM does not confirm the copies of its peers.
+        """
+        previous, self._sent_at = self._sent_at, _time_with_suspension()
+        seconds = self._sent_at - previous
+        if seconds < FROZEN_SECONDS:
+            return
+        logger.bind(seconds=round(seconds, 2)).warning(
+            'this VM stood still: beginning its watches of the store anew'
+        )
+        for replica in self._view.replicas_by_kind.values():
+            replica.refresh()
+
     async def send_limits(self) -> None:
         """Send the request rate limits that servers have named to some peers."""
         notices = self._view.limit_notices.take(MAX_LIMITS_PER_DATAGRAM, self._clock())
@@ -194,9 +224,17 @@
     def watches_store(self) -> bool:
         """Return whether this VM should keep a watch on the store itself."""
         now = self._clock()
-        members = self._view.members_by_name
-        live = {name for name in members if self.liveness.is_alive(name, now)}
-        is_watching = watches_store(self._member, members.values(), live)
+        if self._is_watching is not None and now - self._role_at < ROLE_SECONDS:
+            return self._is_watching
+        self._role_at = now
+        members = self._view.members_by_name.values()
+        domain = self._member.failure_domain
+        live = {
+            each.name
+            for each in members
+            if each.failure_domain == domain and self.liveness.is_alive(each.name, now)
+        }
+        is_watching = watches_store(self._member, members, live)
         self._record_role(is_watching, len(live))
         return is_watching
 
@@ -205,7 +243,7 @@
             return
         self._is_watching = is_watching
         members = len(self._view.members_by_name)
-        logger.bind(live=live_count, members=members).info(
+        logger.bind(live_in_domain=live_count, members=members).info(
             'watching the store for changes'
             if is_watching
             else 'relying on peers for changes of the store'
@@ -342,6 +380,11 @@
         )
 
 
+def _time_with_suspension() -> float:
+    """Return a steady time in seconds that also counts while the VM is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def _entry(document: StoredDocument) -> list[Any]:
     return [document.name, document.revision, document.body]
 
--- a/packages/daisylift-node/src/daisylift_node/version/replica.py
+++ b/packages/daisylift-node/src/daisylift_node/version/replica.py
@@ -2,8 +2,9 @@
 
 While this VM cannot reach the store, the replica is updated from peers at a later
 position. Positions are assigned by the store, so the replicas of different VMs can be
-compared. The position of a replica never goes back; its revision does when the store
-comes back from an older copy, which begins a new era.
+compared. A VM that does not watch the store calls it only when peers no longer confirm
+that its copy is complete. The position of a replica never goes back; its revision does
+when the store comes back from an older copy, which begins a new era.
 """
 
 import asyncio
@@ -14,6 +15,7 @@
 
 from loguru import logger
 
+from daisylift.decisions.copy_age import CopyAge
 from daisylift_node.version.documents import (
     DocumentChange,
     DocumentChanges,
@@ -25,13 +27,16 @@
     StoreError,
 )
 
-ROLE_POLL_SECONDS = 0.5  # longest delay until a VM takes over a lost VM's watch
-STANDBY_PAUSE_SECONDS = 60.0  # between calls to the store while peers send the changes
+ROLE_POLL_SECONDS = 0.25  # longest delay until a VM takes over a lost VM's watch
+MIN_POLL_SECONDS = 0.02
+STANDBY_PAUSE_SECONDS = 3.0  # after a failed call of a VM that relies on its peers
+STANDBY_DEPENDENT_PAUSE_SECONDS = 10.0  # the same, if another kind probes the store
 MAX_RECENT_CHANGES = 1000  # kept to send peers changes instead of a full listing
 REFRESH_PAUSE_SECONDS = 0.5  # between refreshes, so that kinds don't refresh in a loop
 # A watch can stop delivering changes without an error; this bounds how long that lasts.
 DEFAULT_WATCH_SECONDS = 2.5
-# Length of a watch while the store is unreachable; short, to detect lost calls soon.
+# Length of a watch after a failure or a time without calls; short, so that the answer
+# soon shows that the store serves this VM.
 PROBE_WATCH_SECONDS = 0.3
 INITIAL_PAUSE_SECONDS = 0.1  # after a failed call
 MAX_PAUSE_SECONDS = 0.8  # between probes of an unreachable store
@@ -76,6 +81,8 @@
         self._watches_store = watches_store
         self._is_store_reachable = is_store_reachable
         self._on_reconnect = on_reconnect
+        self._age = CopyAge()
+        self._is_following = False
         self._retry_now = asyncio.Event()
         self._recent_changes: deque[tuple[int, DocumentChange]] = deque(
             maxlen=MAX_RECENT_CHANGES
@@ -91,6 +98,23 @@
         """The revision of the store that the replica is at."""
         return self.position.revision
 
+    def age_seconds(self) -> float:
+        """Return how long ago this copy was known to be complete.
+
+        While a watch waits at a store that has just answered, the copy is complete.
+        """
+        now = asyncio.get_running_loop().time()
+        if self._watch is not None and self._is_following:
+            self._age.confirm(0.0, now)
+        return self._age.seconds(now)
+
+    def confirm(self, position: Position, age_seconds: float) -> None:
+        """Record that no change after the position existed ``age_seconds`` ago."""
+        if self.is_loaded and (
+            position.era == self.position.era and position <= self.position
+        ):
+            self._age.confirm(age_seconds, asyncio.get_running_loop().time())
+
     def refresh(self) -> None:
         """Cancel the watch in progress, so that a new one is started.
 
@@ -104,6 +128,7 @@
         if self._watch is None or now - self._refreshed_at < REFRESH_PAUSE_SECONDS:
             return
         self._refreshed_at = now
+        self._is_following = False
         self._watch.cancel()
 
     def retry(self) -> None:
@@ -117,6 +142,7 @@
         A watch in progress is cancelled: it may wait at a revision of the era before.
         """
         self._retry_now.set()
+        self._is_following = False
         if self._watch is not None:
             self._watch.cancel()
 
@@ -129,7 +155,7 @@
             try:
                 if relist or self._store.era > self.position.era:
                     self.apply_listing(await self._store.list(self.kind), 'store')
-                    self._record_connection(True, '')
+                    self._record_answer()
                     relist = False
                 await self._watch_once()
             except HistoryGoneError as error:
@@ -153,6 +179,7 @@
                 relist = relist or not self.is_loaded
                 self._on_interruption(self.kind)
                 if self.is_loaded and not self._watches_store():
+                    await self._pause_standby()
                     await self._wait_while_others_watch()
                     continue
                 await self._pause(pause * random.uniform(MIN_PAUSE_FRACTION, 1.0))
@@ -163,7 +190,6 @@
                 ):
                     pause = DEPENDENT_PAUSE_SECONDS
                 continue
-            self._record_connection(True, '')
             pause = INITIAL_PAUSE_SECONDS
             lost_history = False
             await self._wait_while_others_watch()
@@ -267,16 +293,41 @@
         with suppress(TimeoutError):
             await asyncio.wait_for(self._retry_now.wait(), seconds)
 
+    async def _pause_standby(self) -> None:
+        """Wait after a failed call that was made because peers confirm nothing.
+
+        ``retry``, or the role of a VM that watches, ends the wait early.
+        """
+        seconds = STANDBY_PAUSE_SECONDS
+        if self._is_store_reachable is not None and not self._is_store_reachable():
+            seconds = STANDBY_DEPENDENT_PAUSE_SECONDS
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + seconds * random.uniform(MIN_PAUSE_FRACTION, 1.0)
+        self._retry_now.clear()
+        while loop.time() < ends_at and not self._watches_store():
+            await self._pause(min(ROLE_POLL_SECONDS, ends_at - loop.time()))
+            if self._retry_now.is_set():
+                return
+
     async def _wait_while_others_watch(self) -> None:
-        """Wait for 48 to 72 s, or until this VM has to watch the store itself."""
-        remaining_seconds = STANDBY_PAUSE_SECONDS * random.uniform(0.8, 1.2)
-        while remaining_seconds > 0.0 and not self._watches_store():
-            await asyncio.sleep(ROLE_POLL_SECONDS)
-            remaining_seconds -= ROLE_POLL_SECONDS
+        """Wait while peers watch the store and confirm that this copy is complete."""
+        self._age.draw_limit()
+        loop = asyncio.get_running_loop()
+        while not self._watches_store():
+            self._is_following = False
+            remaining_seconds = self._age.remaining_seconds(loop.time())
+            if remaining_seconds == 0.0:
+                logger.bind(
+                    kind=self.kind, at=self.revision, age=round(self.age_seconds(), 2)
+                ).info('no peer confirms the copy of the store: calling the store')
+                return
+            await asyncio.sleep(
+                min(ROLE_POLL_SECONDS, max(MIN_POLL_SECONDS, remaining_seconds))
+            )
 
     async def _watch_once(self) -> None:
         since = self.position
-        seconds = self._watch_seconds if self.is_connected else PROBE_WATCH_SECONDS
+        seconds = self._watch_seconds if self._is_following else PROBE_WATCH_SECONDS
         call = self._store.watch(self.kind, since.revision, seconds)
         self._watch = asyncio.ensure_future(call)
         try:
@@ -287,16 +338,26 @@
             return
         finally:
             self._watch = None
-        self._record_connection(True, '')
-        if self.apply_changes(batch, since) and batch.changes:
+        is_applied = self.apply_changes(batch, since)
+        if is_applied or batch.position <= self.position:
+            self._record_answer()
+        if is_applied and batch.changes:
             await asyncio.sleep(BATCH_DELAY_SECONDS)
 
+    def _record_answer(self) -> None:
+        """Record that the store has just answered and the copy is complete."""
+        self._record_connection(True, '')
+        self._is_following = True
+        self._age.confirm(0.0, asyncio.get_running_loop().time())
+
     def _seconds_since_answer(self) -> float:
         return asyncio.get_running_loop().time() - self._answered_at
 
     def _record_connection(self, connected: bool, reason: str) -> None:
         if connected:
             self._answered_at = asyncio.get_running_loop().time()
+        else:
+            self._is_following = False
         if connected == self.is_connected:
             return
         self.is_connected = connected
--- a/packages/daisylift/src/daisylift/decisions/fleet_roles.py
+++ b/packages/daisylift/src/daisylift/decisions/fleet_roles.py
@@ -5,10 +5,11 @@
 per VM must not grow with the fleet.
 
 In a small fleet every VM watches the store itself. In a larger one the first live VM of
-each failure domain does; the others learn of changes from peers and query the store
-only now and then. If a watcher is lost, updates from other failure domains cover for it
-until the next VM takes its place. Heartbeats are sent mostly within a failure domain,
-because callers are directed to VMs of their own failure domain.
+each failure domain does; the others learn of changes from peers, and call the store
+when peers no longer confirm their copies (``copy_age``). If a watcher is lost, updates
+from other failure domains cover for it until the next VM takes its place. Heartbeats
+are sent mostly within a failure domain, because callers are directed to VMs of their
+own failure domain.
 """
 
 import random
--- a/packages/daisylift/src/daisylift/decisions/liveness.py
+++ b/packages/daisylift/src/daisylift/decisions/liveness.py
@@ -15,7 +15,7 @@
 LARGE_FLEET_LOST_SECONDS = 5.0  # same for fleets where heartbeats take several hops
 LONG_LOST_SECONDS = 120.0  # longer than a restart or a rack outage usually lasts
 OTHER_DOMAIN_LOST_SECONDS = 10.0  # in large fleets; these heartbeats are slower
-MAX_HEARTBEATS = 24  # in one datagram; keeps it below 400 bytes
+MAX_HEARTBEATS = 23  # in one datagram; keeps it below 400 bytes
 START_GRACE_SECONDS = 2.0  # time for the first heartbeat of a newly registered VM
 
 
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -5,12 +5,14 @@
 """
 
 import asyncio
+import math
 from collections import Counter
 from collections.abc import Callable, Mapping
 from typing import Any
 
 import pytest
 
+from daisylift.decisions import copy_age
 from daisylift.decisions.cold_start import ColdStartLimiter, ColdStartLimits
 from daisylift.decisions.limit_shares import LimitShares
 from daisylift.decisions.ranking import Location
@@ -451,3 +453,53 @@
     async with Followed(store):
         await asyncio.sleep(0.5)
         assert store.lists <= 12
+
+
+async def test_copy_is_confirmed_by_peers_at_its_position_in_its_era_only(
+    store: MemoryStore,
+) -> None:
+    """A peer that is ahead, or in another era, says nothing about this copy."""
+    replica = Replica('servers', store, lambda names: None)
+    replica.confirm(Position(0, 0), 0.0)
+    assert replica.age_seconds() == math.inf
+    replica.apply_listing(DocumentListing(7, (), era=2), 'peer')
+    replica.confirm(Position(2, 8), 0.0)
+    replica.confirm(Position(1, 7), 0.0)
+    assert replica.age_seconds() == math.inf
+    replica.confirm(Position(2, 6), 0.5)
+    assert replica.age_seconds() == pytest.approx(0.5, abs=0.1)
+
+
+async def test_vm_calls_the_store_when_no_peer_confirms_its_copy(
+    store: MemoryStore, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The watching VMs may have died without a word, just before a change."""
+    monkeypatch.setattr(copy_age, 'MAX_AGE_SECONDS', 0.2)
+    monkeypatch.setattr(copy_age, 'SPREAD_SECONDS', 0.0)
+    replica = Replica(
+        'servers', store, lambda names: None, 0.01, watches_store=lambda: False
+    )
+    task = asyncio.create_task(replica.follow())
+    for _ in range(30):
+        await asyncio.sleep(0.02)
+        replica.confirm(replica.position, 0.0)
+    assert len(store.waits) == 1
+    store.write('i-1')
+    await asyncio.sleep(0.35)
+    assert set(replica.documents_by_name) == {'i-1'}
+    assert len(store.waits) <= 4
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
+async def test_replica_confirms_nothing_after_its_watch_was_cancelled(
+    store: MemoryStore,
+) -> None:
+    """After a freeze, the watch in progress may be one that nobody answers."""
+    async with Followed(store) as followed:
+        await asyncio.sleep(0.05)
+        assert followed.replica.age_seconds() == 0.0
+        store.failure = StoreError('no answer')
+        followed.replica.refresh()
+        await asyncio.sleep(0.1)
+        assert followed.replica.age_seconds() >= 0.1
