Hand the watch over when a watching VM stops

Cause: the role went by whether a VM is alive. A VM that stops says that it is no longer ready, but counted as watching until its heartbeats had been missing for 2 s (5 s above 40 VMs) after its end.

Now the first ready VM of a failure domain watches. One that stops is no longer ready: the next one takes over while it still watches, for its whole grace period. A VM that is not ready for another reason watches as well.

--- a/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
+++ b/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
@@ -222,28 +222,31 @@
         return self.liveness.is_ready(name, self._clock(), self._lost_seconds(name))
 
     def watches_store(self) -> bool:
-        """Return whether this VM should keep a watch on the store itself."""
+        """Return whether this VM should keep a watch on the store itself.
+
+        A VM that stops is not ready: it watches until it ends, beside the next one.
+        """
         now = self._clock()
         if self._is_watching is not None and now - self._role_at < ROLE_SECONDS:
             return self._is_watching
         self._role_at = now
         members = self._view.members_by_name.values()
         domain = self._member.failure_domain
-        live = {
+        ready = {
             each.name
             for each in members
-            if each.failure_domain == domain and self.liveness.is_alive(each.name, now)
+            if each.failure_domain == domain and self.liveness.is_ready(each.name, now)
         }
-        is_watching = watches_store(self._member, members, live)
-        self._record_role(is_watching, len(live))
+        is_watching = watches_store(self._member, members, ready)
+        self._record_role(is_watching, len(ready))
         return is_watching
 
-    def _record_role(self, is_watching: bool, live_count: int) -> None:
+    def _record_role(self, is_watching: bool, ready_count: int) -> None:
         if is_watching == self._is_watching:
             return
         self._is_watching = is_watching
         members = len(self._view.members_by_name)
-        logger.bind(live_in_domain=live_count, members=members).info(
+        logger.bind(ready_in_domain=ready_count, members=members).info(
             'watching the store for changes'
             if is_watching
             else 'relying on peers for changes of the store'
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -1,6 +1,7 @@
 """Tests of the detection of lost entry VMs, and of gossip and store watching."""
 
 import random
+from types import SimpleNamespace
 
 import pytest
 
@@ -13,7 +14,10 @@
     Liveness,
 )
 from daisylift.models.registered_server import EntryMember
-from daisylift_node.process.peer_exchange import GOSSIP_PERIOD_SECONDS
+from daisylift_node.process.peer_exchange import (
+    GOSSIP_PERIOD_SECONDS,
+    PeerExchange,
+)
 
 FETCH_SECONDS = 0.06  # to fetch a copy from another region
 
@@ -122,6 +126,23 @@
     assert sum(watches_store(member, middle, names) for member in middle) == 6
 
 
+def test_a_watching_vm_that_stops_is_replaced_before_it_ends() -> None:
+    """It says that it is no longer ready, and watches on beside the next one."""
+    large = [a_member(f'n{number:03}', 'arusha-a', 'arusha') for number in range(100)]
+    view = SimpleNamespace(members_by_name={each.name: each for each in large})
+    heartbeats = [
+        Heartbeat(each.name, 1, 1, ready=each.name != 'n000') for each in large
+    ]
+    watching = set()
+    for member in large:
+        exchange = PeerExchange(member, view, lambda: 0.0)
+        exchange.liveness.ready = member.name != 'n000'
+        exchange.liveness.receive(heartbeats, 0.0)
+        if exchange.watches_store():
+            watching.add(member.name)
+    assert watching == {'n000', 'n001'}
+
+
 def test_when_watchers_are_lost_others_take_over() -> None:
     large = [a_member(f'n{number:03}', 'arusha-a', 'arusha') for number in range(100)]
     live = {member.name for member in large[2:]}
