Name VMs of the homes of a host's routes in look-ups

A caller whose region has no ready VM was sent to the VMs of all other regions, though its host's routes may have homes: most of its requests then entered where their route may not be served, and travelled on. The VMs of the regions that may serve all routes with homes come before those of all others now.

Weighed: homes of tenants are not used, as a look-up carries no key; the union of the homes of several routes would name a wrong region for each of them. Callers with VMs in their own region get the same answers as before.

Test: test_a_region_without_vms_is_sent_to_the_homes_of_the_hosts_routes.

--- a/packages/daisylift-node/src/daisylift_node/platform/directory.py
+++ b/packages/daisylift-node/src/daisylift_node/platform/directory.py
@@ -7,16 +7,22 @@
 
 @dataclass(frozen=True, slots=True)
 class DirectoryQuery:
-    """The location of the caller; a field is empty if the caller does not state it."""
+    """The caller's location and the host that it wants.
+
+    A field is empty if the caller does not state it.
+    """
 
     region: str
     failure_domain: str
+    host: str
 
 
 def parse_directory_query(query: Mapping[str, str]) -> DirectoryQuery:
-    """Return the location in the query string of a lookup."""
+    """Return what the query string of a lookup states."""
     return DirectoryQuery(
-        region=query.get('region', ''), failure_domain=query.get('zone', '')
+        region=query.get('region', ''),
+        failure_domain=query.get('zone', ''),
+        host=query.get('name', ''),
     )
 
 
--- a/packages/daisylift-node/src/daisylift_node/process/entry_application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_application.py
@@ -372,10 +372,15 @@
             members.values(),
             self.peers.is_ready,
             random.random,
+            self._home_regions(query.host),
         )
         ttl = min(DEFAULT_CALLER_TTL_SECONDS, self.settings.bounds.ttl_max_s)
         return web.json_response(directory_reply(addresses, ttl))
 
+    def _home_regions(self, host: str) -> frozenset[str]:
+        routes = self.view.routes
+        return routes.home_regions(host) if routes else frozenset()
+
     async def _metrics_page(self, request: web.BaseRequest) -> web.Response:
         for kind, replica in self.view.replicas_by_kind.items():
             self.metrics.set_replica_revision(kind, replica.revision)
--- a/packages/daisylift/src/daisylift/decisions/entry_directory.py
+++ b/packages/daisylift/src/daisylift/decisions/entry_directory.py
@@ -2,14 +2,15 @@
 
 Load pattern: callers cache an answer for seconds, and a lost VM removes a large share
 of a failure domain's capacity. An answer lists the ready VMs of the caller's failure
-domain; if there are none, those of its region; if the region has none, all others.
+domain; if there are none, those of its region; if the region has none, those of the
+regions that may serve the host's routes; if these have none, all others.
 
 Link bandwidths of VMs in one failure domain may differ by a factor of twenty. Callers
 choose uniformly among the VMs of an answer, so a VM is listed with a probability equal
 to its capacity relative to the strongest VM of the group.
 """
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 
 from daisylift.models.registered_server import EntryMember
 
@@ -23,15 +24,19 @@
     members: Iterable[EntryMember],
     is_ready: Callable[[str], bool],
     random: Callable[[], float],
+    home_regions: Collection[str] = (),
 ) -> list[str]:
     """Return the caller-facing addresses of the entry VMs in the nearest group.
 
-    ``random`` returns a new random number from 0 to 1 on each call.
+    ``random`` returns a new random number from 0 to 1 on each call. ``home_regions``
+    may serve all routes of the host that the caller wants; it is empty if all regions
+    may, or none may serve all of them.
     """
     ready = [member for member in members if is_ready(member.name)]
     groups: Sequence[Callable[[EntryMember], bool]] = (
         lambda member: member.failure_domain == failure_domain,
         lambda member: member.region == region,
+        lambda member: member.region in home_regions,
         lambda member: True,
     )
     for is_in_group in groups:
--- a/packages/daisylift/src/daisylift/decisions/route_table.py
+++ b/packages/daisylift/src/daisylift/decisions/route_table.py
@@ -23,6 +23,15 @@
             by_prefix = self._routes_by_prefix_by_host.setdefault(route.host, {})
             by_prefix[route.path_prefix] = route
 
+    def home_regions(self, host: str) -> frozenset[str]:
+        """Return the regions that may serve every route of the host with homes.
+
+        The set is empty if no route has homes, or if they have no region in common.
+        """
+        by_prefix = self._routes_by_prefix_by_host.get(normalize_host(host), {})
+        homes = [each.home_regions for each in by_prefix.values() if each.home_regions]
+        return frozenset.intersection(*homes) if homes else frozenset()
+
     def match(self, host: str, target: str) -> Route | None:
         """Return the route with the longest prefix of the path, or None."""
         by_prefix = self._routes_by_prefix_by_host.get(normalize_host(host))
--- a/tests/test_entry_directory.py
+++ b/tests/test_entry_directory.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import Counter
+from dataclasses import replace
 
 import pytest
 
@@ -57,3 +58,19 @@
         LOOKUPS
     }
     assert listed([a_vm('a', 10.0, 1.0), a_vm('b')])['b:80'] == LOOKUPS
+
+
+def test_a_region_without_vms_is_sent_to_the_homes_of_the_hosts_routes() -> None:
+    """Otherwise most of its requests enter where their routes may not be served."""
+    members = [
+        replace(a_vm(name), failure_domain=f'{region}-a', region=region)
+        for name, region in (('a', 'east'), ('b', 'west'))
+    ]
+
+    def answer(homes: frozenset[str]) -> list[str]:
+        return select_entry_addresses(
+            'north', 'ak-c', members, lambda name: True, lambda: 0.5, homes
+        )
+
+    assert answer(frozenset({'west'})) == ['b:80']
+    assert answer(frozenset({'south'})) == answer(frozenset()) == ['a:80', 'b:80']
--- a/tests/test_route_table.py
+++ b/tests/test_route_table.py
@@ -1,6 +1,7 @@
 """Tests of routes by host and longest prefix, and of destinations by weight."""
 
 from collections import Counter
+from dataclasses import replace
 
 import pytest
 
@@ -72,3 +73,17 @@
     selected = Counter(selector.select(after) for _ in range(10))
     assert set(selected) == {'plates', 'till'}
     assert abs(selected['plates'] - selected['till']) <= 1
+
+
+def test_the_homes_of_a_host_are_those_of_all_its_routes_with_homes() -> None:
+    def table_of(*homes: set[str]) -> RouteTable:
+        routes = (
+            replace(a_route(f'/{number}/'), home_regions=frozenset(each))
+            for number, each in enumerate(homes)
+        )
+        return RouteTable(DesiredState(version=1, routes=tuple(routes)))
+
+    assert table_of({'a', 'b'}, set(), {'b', 'c'}).home_regions('A.example') == {'b'}
+    assert table_of({'a'}, {'b'}).home_regions('a.example') == frozenset()
+    assert table_of(set()).home_regions('a.example') == frozenset()
+    assert table_of({'a'}).home_regions('other.example') == frozenset()
