Find servers of rare homes, and know when no home has any

A request without an object considered a sample of the servers of all other regions, and only then left out those that are no home: with 200 regions the home was in one sample of 25. The sample is taken of the allowed regions now; test_a_rare_home_is_found_among_many_regions failed before.

has_servers tells whether a region that may serve has any server, so that a request that no server may run can be refused at once instead of waiting.

--- a/packages/daisylift/src/daisylift/decisions/placement.py
+++ b/packages/daisylift/src/daisylift/decisions/placement.py
@@ -148,7 +148,9 @@
             return self._is_within_limit(candidate, now)
 
         if object_key is None:
-            return self._lowest_cost(self._sample(can_use), None, estimate, now)
+            return self._lowest_cost(
+                self._sample(allowed, can_use), None, estimate, now
+            )
         listed = self._listed_candidates(object_key, estimate, can_use)
         return self._lowest_cost(listed, object_key, estimate, now)
 
@@ -220,6 +222,12 @@
             candidate.server.id, candidate.region, per_second
         )
 
+    def has_servers(self, allowed: Collection[str] | None) -> bool:
+        """Return whether a server may serve; ``allowed`` names the regions that may."""
+        if allowed is None:
+            return bool(self.candidates_by_id)
+        return any(each.region in allowed for each in self.candidates_by_id.values())
+
     def can_serve_locally(self, allowed: Collection[str] | None) -> bool:
         """Return whether the local region may serve and has servers, full or not."""
         region = self._location.region
@@ -257,11 +265,15 @@
         if candidate.stats.cold_until:
             self.cold_by_id[candidate.server.id] = candidate
 
-    def _sample(self, can_use: Callable[[Candidate], bool]) -> list[Candidate]:
+    def _sample(
+        self, allowed: Collection[str] | None, can_use: Callable[[Candidate], bool]
+    ) -> list[Candidate]:
         """Return a random sample of usable servers, for a request without an object."""
         sampled: list[Candidate] = []
         for group in (Proximity.SAME_REGION, Proximity.OTHER_REGION):
             members = self.rankings.members_by_group[group]
+            if allowed is not None:
+                members = [each for each in members if each.region in allowed]
             if len(members) > SAMPLED_SERVERS:
                 members = self._rng.sample(members, SAMPLED_SERVERS)
             sampled += filter(can_use, members)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -287,3 +287,22 @@
     expected = 5.0 + 2.0 * (len(fleet) - 1)
     assert placer.limited_per_second(None, later) == pytest.approx(expected)
     assert placer.limited_per_second(frozenset({'nowhere'}), later) is None
+
+
+def test_a_rare_home_is_found_among_many_regions() -> None:
+    """A sample of all other regions mostly has no server of the only home."""
+    others = [
+        Candidate(
+            RegisteredServer(f'o-{n}', 's', 'h', 80, 'd', 6, False, 0.0, 1),
+            ServerStats(slots=6),
+            f'region-{n}',
+        )
+        for n in range(200)
+    ]
+    placer = ServicePlacer(Location('arusha-a', 'arusha'), others, random.Random(1))
+    for _ in range(20):
+        assert chosen_id(placer, None, allowed={'region-150'}) == 'o-150'
+    assert not placer.has_servers(frozenset())
+    assert not placer.has_servers({'dar'})
+    assert placer.has_servers({'region-150'})
+    assert placer.has_servers(None)
