Decode tenants, and find the tenant of a key

Two credentials, another scheme or anything but one key after it are malformed.

The headers for servers lose the caller's Authorization and Tenant in any spelling, and name the tenant, if the desired state has tenants; without tenants they pass as before.

Two tenants of one name, or names that no header can carry, are refused.

--- a/packages/daisylift-node/src/daisylift_node/platform/documents.py
+++ b/packages/daisylift-node/src/daisylift_node/platform/documents.py
@@ -2,11 +2,12 @@
 
 import ipaddress
 import re
-from collections.abc import Mapping
-from typing import Any, TypeVar
+from collections.abc import Iterable, Mapping
+from typing import Annotated, Any, TypeVar
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from daisylift.decisions.tenant_keys import digest_key
 from daisylift.models.desired_state import (
     CallerLimits,
     DesiredState,
@@ -14,6 +15,7 @@
     RequestKind,
     Route,
     ServiceConfig,
+    Tenant,
 )
 from daisylift.models.registered_server import (
     MAX_INCARNATION,
@@ -43,15 +45,17 @@
 DRAINING_STATE = 'draining'
 READY_STATE = 'ready'
 DEFAULT_LIMITS = CallerLimits()
+MAX_TENANT_REQUESTS = 1e9  # a second, and of a burst
 MAX_LINK_MBPS = 1e7
 MAX_CORES = 1e5
+TENANT_NAME_PATTERN = '^[!-~]([ -~]{0,251}[!-~])?$'  # what a header can carry
 CALLER_ADDRESS_PATTERN = '^[A-Za-z0-9.-]{1,253}:[0-9]{1,5}$'
 _ID = re.compile('[!-~]{1,253}')  # what a header can carry
 DocumentT = TypeVar('DocumentT', bound=BaseModel)
 
 
 class _Document(BaseModel):
-    model_config = ConfigDict(extra='ignore', strict=True)
+    model_config = ConfigDict(extra='ignore', strict=True, hide_input_in_errors=True)
 
 
 class _Match(_Document):
@@ -86,6 +90,7 @@
     target_latency_ms: float | None = None
     priority: int = 0  # 0 is the most urgent
     sticky: bool = False  # a server is faster with recently handled objects
+    public: bool = False  # needs no key
     match: _Match
     action: _Action
 
@@ -103,6 +108,15 @@
     cold_per_s: float = 0.0  # requests per second that a cold server can handle
 
 
+class _Tenant(_Document):
+    name: str = Field(pattern=TENANT_NAME_PATTERN)
+    keys: list[Annotated[str, Field(min_length=1)]] = []
+    priority: int | None = None  # goes before that of the route
+    requests_per_s: float | None = Field(None, ge=0, le=MAX_TENANT_REQUESTS)
+    burst: float | None = Field(None, ge=0, le=MAX_TENANT_REQUESTS)
+    home_regions: list[str] = []
+
+
 class _Limits(_Document):
     header_bytes: int = Field(DEFAULT_LIMITS.header_bytes, gt=0, le=MAX_LIMIT_BYTES)
     body_bytes: int = Field(DEFAULT_LIMITS.body_bytes, ge=0, le=MAX_LIMIT_BYTES)
@@ -117,6 +131,7 @@
 class _Config(_Document):
     version: str = Field(pattern='^[0-9A-Fa-f]{1,16}$')
     limits: _Limits = _Limits()
+    tenants: list[_Tenant] | None = None
     listeners: list[_Listener]
     clusters: list[_Cluster]
 
@@ -177,6 +192,7 @@
                 header_timeout_seconds=config.limits.header_timeout_ms / MS_PER_SECOND,
                 idle_timeout_seconds=config.limits.idle_timeout_ms / MS_PER_SECOND,
             ),
+            tenants_by_name=_tenants_by_name(config.tenants or ()),
         )
 
     def server(self, name: str, body: Any) -> RegisteredServer:
@@ -274,9 +290,27 @@
         priority=rule.priority,
         sticky=rule.sticky,
         home_regions=frozenset(rule.action.home_regions),
+        is_public=rule.public,
     )
 
 
+def _tenants_by_name(tenants: Iterable[_Tenant]) -> dict[str, Tenant]:
+    """Return the tenants by name; only digests of their keys are kept."""
+    tenants_by_name: dict[str, Tenant] = {}
+    for each in tenants:
+        if each.name in tenants_by_name:
+            raise DocumentError(f'two tenants are named {_shortened(each.name)}')
+        tenants_by_name[each.name] = Tenant(
+            name=each.name,
+            key_digests=frozenset(map(digest_key, each.keys)),
+            priority=each.priority,
+            requests_per_second=each.requests_per_s or None,
+            burst=each.burst or 0.0,
+            home_regions=frozenset(each.home_regions),
+        )
+    return tenants_by_name
+
+
 def _service(cluster: _Cluster) -> ServiceConfig:
     return ServiceConfig(
         name=cluster.name,
--- a/packages/daisylift-node/src/daisylift_node/platform/headers.py
+++ b/packages/daisylift-node/src/daisylift_node/platform/headers.py
@@ -5,13 +5,23 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
+from multidict import MultiMapping
+
 from daisylift.decisions.server_stats import LoadReport
-from daisylift_node.request.dialect import RawHeaders, RequestMetadata, ResponseMetadata
+from daisylift.decisions.tenant_keys import Credential, digest_key
+from daisylift_node.request.dialect import (
+    CallerIdentity,
+    RawHeaders,
+    RequestMetadata,
+    ResponseMetadata,
+)
 
 REQUEST_ID = 'Request-Id'
 OBJECT_KEY = 'Affinity-Key'
 REMAINING_TIME = 'Deadline-Milliseconds'  # remaining time, not a point in time
 EXPECTED_SERVER = 'Target-Instance'
+AUTHORIZATION = 'Authorization'  # "Bearer KEY"
+TENANT = 'Tenant'  # name of the tenant that holds the key
 NOT_EXECUTED = 'Not-Executed'  # any value: the presence of the header counts
 RESPONSE_STAMP = 'Response-Stamp'  # a MAC of the response
 LOAD = 'Server-Load'  # "running,waiting,slots"; newer servers add figures
@@ -22,6 +32,7 @@
 LOAD_FIGURES = 3
 _SECONDS = re.compile(r'[0-9]{1,6}(\.[0-9]{1,9})?')
 _FIGURE = re.compile('[0-9]{1,9}')
+_BEARER = re.compile('(?i:bearer) +([!-~]+)')
 MS_PER_SECOND = 1000.0
 MISDIRECTED_STATUS = 421
 TURNED_AWAY_STATUS = 503
@@ -29,6 +40,7 @@
 HEADERS_SET_BY_NODE = frozenset(
     {REMAINING_TIME.lower().encode(), EXPECTED_SERVER.lower().encode()}
 )
+IDENTITY_HEADERS = frozenset({AUTHORIZATION.lower().encode(), TENANT.lower().encode()})
 
 
 class PlatformDialect:
@@ -42,19 +54,41 @@
             remaining_seconds=_seconds(headers.get(REMAINING_TIME)),
         )
 
+    def read_credential(self, headers: MultiMapping[str]) -> Credential | None:
+        """Return the key that the caller presents, None if it presents nothing.
+
+        More than one credential counts as malformed.
+        """
+        values = headers.getall(AUTHORIZATION, [])
+        if not values:
+            return None
+        match = _BEARER.fullmatch(values[0].strip()) if len(values) == 1 else None
+        return Credential(digest_key(match[1]) if match else None)
+
     def request_headers(
-        self, headers: Iterable[tuple[bytes, bytes]], server_id: str, seconds: float
+        self,
+        headers: Iterable[tuple[bytes, bytes]],
+        server_id: str,
+        seconds: float,
+        identity: CallerIdentity | None = None,
     ) -> RawHeaders:
         """Return the request headers for the server; ``seconds`` is the remaining time.
 
-        Values of the caller for the headers that the node sets are removed.
+        Values of the caller for the headers that the node sets are removed. With an
+        identity, so are the caller's key and what it says of its tenant.
         """
         milliseconds = max(1, int(seconds * MS_PER_SECOND))
-        return [
-            *(pair for pair in headers if pair[0].lower() not in HEADERS_SET_BY_NODE),
+        removed = HEADERS_SET_BY_NODE
+        if identity is not None:
+            removed |= IDENTITY_HEADERS
+        sent = [
+            *(pair for pair in headers if pair[0].lower() not in removed),
             (REMAINING_TIME.encode(), str(milliseconds).encode()),
             (EXPECTED_SERVER.encode(), server_id.encode()),
         ]
+        if identity is not None and identity.tenant_name is not None:
+            sent.append((TENANT.encode(), identity.tenant_name.encode()))
+        return sent
 
     def read_response(
         self,
--- a/packages/daisylift-node/src/daisylift_node/request/dialect.py
+++ b/packages/daisylift-node/src/daisylift_node/request/dialect.py
@@ -4,7 +4,10 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from multidict import MultiMapping
+
 from daisylift.decisions.server_stats import LoadReport
+from daisylift.decisions.tenant_keys import Credential
 
 RawHeaders = list[tuple[bytes, bytes]]
 
@@ -18,6 +21,13 @@
     remaining_seconds: float | None
 
 
+@dataclass(frozen=True, slots=True)
+class CallerIdentity:
+    """Whose request it is, while tenants are in use; None is no tenant's."""
+
+    tenant_name: str | None
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseMetadata:
     """What a backend server states about its response.
@@ -58,10 +68,20 @@
     def read_request(self, headers: Mapping[str, str]) -> RequestMetadata:
         """Return what the caller states about its request."""
 
+    def read_credential(self, headers: MultiMapping[str]) -> Credential | None:
+        """Return the key that the caller presents, None if it presents nothing."""
+
     def request_headers(
-        self, headers: Iterable[tuple[bytes, bytes]], server_id: str, seconds: float
+        self,
+        headers: Iterable[tuple[bytes, bytes]],
+        server_id: str,
+        seconds: float,
+        identity: CallerIdentity | None = None,
     ) -> RawHeaders:
-        """Return the headers to send to the server, with the remaining time."""
+        """Return the headers to send to the server, with the remaining time.
+
+        With an identity, the caller's key is left out and the tenant is named.
+        """
 
     def read_response(
         self,
