Count how the requests of each tenant end

Averages over all requests hide a tenant that another pushes aside, so the share served of the worst tenth of the tenants is told besides.

--- a/packages/daisylift-node/src/daisylift_node/process/entry_metrics.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_metrics.py
@@ -6,6 +6,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
 
+from daisylift.decisions.tenant_stats import TenantReport
 from daisylift_node.request.dialect import ResponseMetadata
 
 SECONDS_BUCKETS = (0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0)
@@ -89,6 +90,25 @@
             ('service', 'reason'),
             registry=self.registry,
         )
+        self._tenant_requests = Gauge(
+            'daisylift_tenant_requests',
+            'Requests that ended in the last period, of the tenants with the most; '
+            'all others are summed up.',
+            ('tenant', 'outcome'),
+            registry=self.registry,
+        )
+        self._tenants = Gauge(
+            'daisylift_tenants',
+            'Tenants that sent requests in the last period.',
+            registry=self.registry,
+        )
+        self._worst_served_share = Gauge(
+            'daisylift_worst_tenants_served_share',
+            'Share of the requests of the tenth of the tenants served worst that were '
+            'served in the last period; 1 without such requests.',
+            registry=self.registry,
+        )
+        self._worst_served_share.set(1.0)
         self._timer_failures = Counter(
             'daisylift_timer_failures',
             'Periodic calls that ended with an unexpected error.',
@@ -153,6 +173,16 @@
         for (service, reason), count in counts.items():
             self._excluded_servers.labels(service, reason).set(count)
 
+    def set_tenants(self, report: TenantReport) -> None:
+        """Set the figures of the tenants in the period that has ended."""
+        self._tenant_requests.clear()
+        for tenant, count_by_outcome in report.counts_by_tenant.items():
+            for outcome, count in count_by_outcome.items():
+                self._tenant_requests.labels(tenant, outcome).set(count)
+        self._tenants.set(report.tenants)
+        share = report.worst_served_share
+        self._worst_served_share.set(1.0 if share is None else share)
+
     def set_lines_dropped(self, count: int) -> None:
         """Set the number of dropped log lines."""
         self._lines_dropped.set(count)
