Serve requests only with a key of a tenant, if there are tenants

Callers of a deployment with tenants were served whatever key they sent, servers were given the key and the tenant that the caller named, and a key that had been taken away kept working.

A request without a key of a tenant gets 401, unless its route is public; a path without a route gets 404 first, a VM without a desired state answers 503, and the body of a refused request is not read. The key is looked up again before each placement, on each wait that a new desired state meets, and once a connection to the server is there: what waits or is to be sent again when its key is taken away ends with 401 at once, and one whose key moves is sent as the new holder's. What runs already runs on.

A request whose route and tenant have no home with a server in common is refused at once with no_server; it waited until its time was up before.

Weighed: a check when the desired state changes only, instead of before each placement, would miss requests between two servers. On public routes a key that no tenant holds is refused too, as it is not the caller's any more.

Refusals without a call carry their request id in the log line, and the first 32 bits of the key's digest.

--- a/packages/daisylift-node/src/daisylift_node/connection/server_pool.py
+++ b/packages/daisylift-node/src/daisylift_node/connection/server_pool.py
@@ -63,7 +63,7 @@
             connection = await self._open(server)
         if not may_send():
             connection.close()
-            raise WithdrawnError('the server takes no more requests')
+            raise WithdrawnError('given up before it was sent')
         response = await connection.exchange(request, repeatable)
         if not is_own_response(response):
             connection.reset()
--- a/packages/daisylift-node/src/daisylift_node/process/entry_application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_application.py
@@ -55,6 +55,8 @@
 REGISTER_PERIOD_SECONDS = 0.5
 LOADED_POLL_SECONDS = 0.02  # short, so that a new VM registers at once
 REMOVE_LOST_PERIOD_SECONDS = 15.0
+TENANTS_PERIOD_SECONDS = 15.0  # of the figures of the tenants
+MAX_LOGGED_TENANTS = 10
 LISTEN_BACKLOG = 1024
 BYTES_PER_MB = 1024 * 1024
 STOP_ACCEPT_SHARE = 0.5  # of the grace period; callers know other VMs by then
@@ -196,6 +198,7 @@
         self.timer.subscribe(EXPIRE_HELD_PERIOD_SECONDS, self.view.expire_held)
         self.timer.subscribe(CLOSE_IDLE_PERIOD_SECONDS, self.pool.close_idle)
         self.timer.subscribe(REMOVE_LOST_PERIOD_SECONDS, self._remove_lost)
+        self.timer.subscribe(TENANTS_PERIOD_SECONDS, self.report_tenants)
         self.timer.subscribe(LOG_FLUSH_PERIOD_SECONDS, self._lines.drain)
         logger.bind(incarnation=self.member.incarnation).info('started')
 
@@ -282,6 +285,18 @@
     async def _wake(self) -> None:
         self.steering.wake_all()
 
+    async def report_tenants(self) -> None:
+        """Publish how the tenants were served in the period that ends."""
+        report = self.handler.tenant_stats.close_period()
+        self.metrics.set_tenants(report)
+        if report.worst_served_share is not None:
+            logger.bind(
+                tenants=report.tenants,
+                worst=report.worst_names[:MAX_LOGGED_TENANTS],
+                served_share=round(report.worst_served_share, 4),
+                seconds=TENANTS_PERIOD_SECONDS,
+            ).info('tenants served worst')
+
     async def _register(self) -> None:
         """Keep this VM registered, also after another VM removed it as lost."""
         while True:
--- a/packages/daisylift-node/src/daisylift_node/request/entry_handler.py
+++ b/packages/daisylift-node/src/daisylift_node/request/entry_handler.py
@@ -11,10 +11,13 @@
 from daisylift.decisions.placement import Placement
 from daisylift.decisions.poison_requests import request_digest
 from daisylift.decisions.route_table import DestinationSelector
+from daisylift.decisions.tenant_keys import Credential, KeyRefusal
+from daisylift.decisions.tenant_stats import TenantStats
 from daisylift.models.desired_state import CallerLimits
 from daisylift_node.connection.server_connection import HOP_BY_HOP
 from daisylift_node.process.entry_metrics import EntryMetrics
 from daisylift_node.request.dialect import Dialect
+from daisylift_node.request.learning import SERVER_ERROR
 from daisylift_node.request.outcome import Answered, Failed, Outcome, Reason, Refused
 from daisylift_node.request.steered_call import SteeredCall
 from daisylift_node.request.steering import Steering
@@ -23,15 +26,25 @@
 DEFAULT_TIMEOUT_SECONDS = 30.0  # for requests without a time limit
 STATUS_BY_REASON = {
     Reason.NO_ROUTE: 404,
+    Reason.KEY_MISSING: 401,
+    Reason.KEY_MALFORMED: 401,
+    Reason.KEY_UNKNOWN: 401,
+    Reason.KEY_REVOKED: 401,
     Reason.BODY_TOO_LARGE: 413,
     Reason.UNREADABLE: 400,
     Reason.TIMED_OUT: 504,
 }
+REASON_BY_KEY_REFUSAL = {
+    KeyRefusal.MISSING: Reason.KEY_MISSING,
+    KeyRefusal.MALFORMED: Reason.KEY_MALFORMED,
+    KeyRefusal.UNKNOWN: Reason.KEY_UNKNOWN,
+}
 STATUS_REFUSED = 503
 STATUS_FAILED = 502
 UNDECLARED_BODY_BYTES = 64 * 1024  # counted for a chunked body; most are far shorter
 STARTUP_RETRY_AFTER_SECONDS = 0.3  # by then a node that just started has its state
 INTERNAL_RETRY_AFTER_SECONDS = 0.3  # another VM may be able to handle the request
+LOGGED_DIGEST_BYTES = 4  # tell keys apart, and do not give them away
 FRAMING_HEADERS = HOP_BY_HOP | {b'content-length'}
 
 
@@ -55,6 +68,7 @@
         self._metrics = metrics
         self._clock = clock
         self._selector = DestinationSelector()
+        self.tenant_stats = TenantStats()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle one request of a caller."""
@@ -112,6 +126,10 @@
         route = routes.match(request.headers.get('Host', ''), request.raw_path)
         if route is None or not route.destinations:
             return Refused(Reason.NO_ROUTE)
+        credential = self._dialect.read_credential(request.headers)
+        tenant = self._view.tenant_keys.authenticate(credential, route.is_public)
+        if isinstance(tenant, KeyRefusal):
+            return Refused(REASON_BY_KEY_REFUSAL[tenant])
         if request.headers.get('Expect', '').lower() == '100-continue':
             await request.writer.write(b'HTTP/1.1 100 Continue\r\n\r\n')
         body = await request.read() if request.can_read_body else b''
@@ -135,8 +153,16 @@
             digest=request_digest(service, request.method, request.raw_path, body, ''),
             arrived_at=arrived_at,
             deadline_at=arrived_at + min(remaining_seconds, route.timeout_seconds),
+            credential=credential,
+            tenant=tenant,
         )
 
+    def _request_id(self, request: web.BaseRequest) -> str:
+        return self._dialect.read_request(request.headers).request_id
+
+    def _key_fields(self, request: web.BaseRequest) -> dict[str, object]:
+        return _credential_fields(self._dialect.read_credential(request.headers))
+
     def _record(
         self,
         request: web.BaseRequest,
@@ -149,7 +175,7 @@
         self._metrics.record_request(service, name, reason, seconds)
         routes = self._view.routes
         line = logger.bind(
-            request_id=call.request_id if call else '',
+            request_id=call.request_id if call else self._request_id(request),
             version=routes.state.version if routes else None,
             servers_at=self._view.servers.revision,
             status=status,
@@ -157,17 +183,23 @@
         )
         if call is not None:
             self._metrics.record_wait(service, call.waited_seconds)
+            if call.tenant is not None:
+                is_served = name == 'answered' and status < SERVER_ERROR
+                self.tenant_stats.record(call.tenant.name, name, is_served=is_served)
             line = line.bind(
                 route=call.route.name,
                 service=service,
                 **_placement_fields(call.placement),
                 sends=call.sends,
                 **_limit_fields(call),
+                **_tenant_fields(call),
                 unreachable=call.unreachable,
                 waited=round(call.waited_seconds, 4),
             )
         else:
-            line = line.bind(host=request.headers.get('Host', ''))
+            line = line.bind(
+                host=request.headers.get('Host', ''), **self._key_fields(request)
+            )
         if reason:
             line = line.bind(reason=reason)
         if isinstance(outcome, Refused) and outcome.waiting is not None:
@@ -179,6 +211,16 @@
         line.info(name)
 
 
+def _tenant_fields(call: SteeredCall) -> dict[str, object]:
+    return {} if call.tenant is None else {'tenant': call.tenant.name}
+
+
+def _credential_fields(credential: Credential | None) -> dict[str, object]:
+    if credential is None or credential.key_digest is None:
+        return {}
+    return {'key_digest': credential.key_digest[:LOGGED_DIGEST_BYTES].hex()}
+
+
 def _placement_fields(placement: Placement | None) -> dict[str, object]:
     if placement is None:
         return {}
--- a/packages/daisylift-node/src/daisylift_node/request/outcome.py
+++ b/packages/daisylift-node/src/daisylift_node/request/outcome.py
@@ -11,6 +11,10 @@
 
     NO_DESIRED_STATE = 'no desired state is known yet'
     NO_ROUTE = 'no route matches host and path'
+    KEY_MISSING = 'the route needs a key'
+    KEY_MALFORMED = 'the key can not be read'
+    KEY_UNKNOWN = 'no tenant holds the key'
+    KEY_REVOKED = 'no tenant holds the key any more'
     BODY_TOO_LARGE = 'the body is larger than allowed'
     MEMORY_FULL = 'too many long bodies are held'
     OVERLOADED = 'no slot is free in time'
--- a/packages/daisylift-node/src/daisylift_node/request/steered_call.py
+++ b/packages/daisylift-node/src/daisylift_node/request/steered_call.py
@@ -4,6 +4,7 @@
 
 from daisylift.decisions.placement import Placement
 from daisylift.decisions.poison_requests import Digest
+from daisylift.decisions.tenant_keys import Credential
 from daisylift.models.desired_state import Route, Tenant
 from daisylift_node.connection.server_connection import ServerResponse
 from daisylift_node.request.dialect import RawHeaders, ResponseMetadata
@@ -15,8 +16,10 @@
 class SteeredCall:
     """A caller's request while it is steered. Times are monotonic, in seconds.
 
-    ``digest`` identifies the request across callers and repeats. ``server_limit`` is
-    the request rate limit of the server that it was sent to last, per second.
+    ``digest`` identifies the request across callers and repeats. ``tenant`` holds the
+    key of ``credential`` in the desired state by which the request was placed last.
+    ``server_limit`` is the request rate limit of the server that it was sent to last,
+    per second.
     """
 
     request_id: str
@@ -30,6 +33,7 @@
     digest: Digest
     arrived_at: float
     deadline_at: float
+    credential: Credential | None = None
     tenant: Tenant | None = None
     tried_server_ids: set[str] = field(default_factory=set)
     sends: int = 0
--- a/packages/daisylift-node/src/daisylift_node/request/steering.py
+++ b/packages/daisylift-node/src/daisylift_node/request/steering.py
@@ -19,6 +19,7 @@
 from daisylift.decisions.region_shift import PlacementScope, RegionShiftLimiter
 from daisylift.decisions.retry_budget import RetryBudget
 from daisylift.decisions.server_stats import ServerStats
+from daisylift.decisions.tenant_keys import KeyRefusal
 from daisylift.decisions.wait_queue import (
     Waiter,
     WaitQueue,
@@ -36,7 +37,7 @@
 from daisylift_node.connection.server_pool import ServerPool
 from daisylift_node.process.entry_metrics import EntryMetrics
 from daisylift_node.process.poison_requests import PoisonRequestRegister
-from daisylift_node.request.dialect import Dialect, ResponseMetadata
+from daisylift_node.request.dialect import CallerIdentity, Dialect, ResponseMetadata
 from daisylift_node.request.learning import (
     RESPONSE_SOURCE,
     SERVER_ERROR,
@@ -87,7 +88,9 @@
         self.queues_by_service: dict[str, WaitQueue] = {}
         self._last_pass_at = math.inf
         self._ends_at = math.inf
-        view.on_change(self.wake_all)
+        self._waiting_calls: dict[_PlacementFuture, SteeredCall] = {}
+        self._applied_keys = view.tenant_keys
+        view.on_change(self._apply_changes)
 
     async def steer(self, call: SteeredCall) -> Outcome:
         """Send the request, with retries, and return its final outcome."""
@@ -99,6 +102,8 @@
                 return _refused_or_failed(call, Reason.STOPPING, 0.0)
             if self._poison_requests.is_blocked(call.digest):
                 return _refused_or_failed(call, Reason.BREAKS_SERVERS)
+            if not self._authenticate(call):
+                return _refused_or_failed(call, Reason.KEY_REVOKED)
             placement = await self._place_or_wait(call)
             if not isinstance(placement, Placement):
                 return placement
@@ -132,6 +137,30 @@
         for queue in self.queues_by_service.values():
             queue.wake_next(now)
 
+    def _apply_changes(self) -> None:
+        """End the wait of requests whose key was taken away; wake the others."""
+        if self._applied_keys is not self._view.tenant_keys:
+            self._applied_keys = self._view.tenant_keys
+            for future, call in self._waiting_calls.items():
+                if not self._authenticate(call) and not future.done():
+                    future.set_result(None)
+        self.wake_all()
+
+    def _authenticate(self, call: SteeredCall) -> bool:
+        """Apply the keys in force now; return whether the request may still run."""
+        tenant = self._view.tenant_keys.authenticate(
+            call.credential, call.route.is_public
+        )
+        if isinstance(tenant, KeyRefusal):
+            return False
+        call.tenant = tenant
+        return True
+
+    def _identity(self, call: SteeredCall) -> CallerIdentity | None:
+        if not self._view.tenant_keys.are_required:
+            return None
+        return CallerIdentity(call.tenant.name if call.tenant else None)
+
     def _queue(self, service: str) -> WaitQueue:
         return self.queues_by_service.setdefault(service, WaitQueue())
 
@@ -213,10 +242,15 @@
                 reason = Reason.RATE_LIMITED
             return self._refuse(call, reason, queue, max_per_second)
         queue.add(waiter)
+        self._waiting_calls[future] = call
         try:
             async with asyncio.timeout(max(0.0, waiter.latest_start_at - now)):
                 placement = await future
-            return placement or self._refuse_unservable(call, queue)
+            if placement is not None:
+                return placement
+            if not self._authenticate(call):
+                return _refused_or_failed(call, Reason.KEY_REVOKED)
+            return self._refuse_unservable(call, queue)
         except TimeoutError:
             return self._refuse(call, Reason.WAITED_IN_VAIN, queue, max_per_second)
         except asyncio.CancelledError:
@@ -225,6 +259,7 @@
             raise
         finally:
             queue.remove(waiter)
+            del self._waiting_calls[future]
             call.waited_seconds += self._clock() - now
 
     def _make_waiter(self, call: SteeredCall, future: _PlacementFuture) -> Waiter:
@@ -250,9 +285,9 @@
     def _is_unservable(self, call: SteeredCall) -> bool:
         """Return whether no server is there, or all want no requests for now."""
         placer = self._view.placer(call.service)
-        if not placer.candidates_by_id:
-            return True
         home_regions = call.home_regions
+        if not placer.has_servers(home_regions):
+            return True
         return placer.resumes_at(home_regions, self._clock()) is not None
 
     def _refuse_unservable(self, call: SteeredCall, queue: WaitQueue) -> Outcome:
@@ -290,10 +325,13 @@
         server, stats = placement.server, placement.stats
         started = self._clock()
         seconds = call.deadline_at - started
+        identity = self._identity(call)
         request = ServerRequest(
             method=call.method.encode(),
             target=call.target.encode('utf-8', 'surrogateescape'),
-            headers=self._dialect.request_headers(call.headers, server.id, seconds),
+            headers=self._dialect.request_headers(
+                call.headers, server.id, seconds, identity
+            ),
             body=call.body,
         )
         call.tried_server_ids.add(server.id)
@@ -303,7 +341,7 @@
             self._metrics.count_limited_send(call.service)
         try:
             async with asyncio.timeout(seconds):
-                response = await self._exchange(call, placement, request)
+                response = await self._exchange(call, placement, request, identity)
         except WithdrawnError as error:
             _log_attempt(call, stats, 'request not sent', str(error))
             return SendResult(None, None, was_sent=False, was_withdrawn=True)
@@ -354,7 +392,11 @@
         return SendResult(response, metadata, was_sent=True)
 
     async def _exchange(
-        self, call: SteeredCall, placement: Placement, request: ServerRequest
+        self,
+        call: SteeredCall,
+        placement: Placement,
+        request: ServerRequest,
+        identity: CallerIdentity | None,
     ) -> ServerResponse:
         """Return the response; let a non-idempotent request finish when cancelled.
 
@@ -363,13 +405,20 @@
         after ABANDONED_TIMEOUT_SECONDS at the latest.
         """
         repeatable = call.route.kind.is_idempotent
+
+        def may_send() -> bool:
+            exclusion = placement.stats.availability.exclusion(self._clock())
+            if exclusion is not None or not self._authenticate(call):
+                return False
+            return self._identity(call) == identity
+
         task = asyncio.ensure_future(
             self._pool.exchange(
                 placement.server,
                 request,
                 repeatable,
                 lambda response: call.may_own(self._read_metadata(response)),
-                lambda: placement.stats.availability.exclusion(self._clock()) is None,
+                may_send,
             )
         )
         task.add_done_callback(lambda _: self._release(call.service, placement))
--- a/packages/daisylift-node/src/daisylift_node/version/fleet_view.py
+++ b/packages/daisylift-node/src/daisylift_node/version/fleet_view.py
@@ -21,6 +21,7 @@
 from daisylift.decisions.server_limits import ServerLimit
 from daisylift.decisions.server_stats import ServerStats
 from daisylift.decisions.store_return import HeldNames, is_superseded
+from daisylift.decisions.tenant_keys import TenantKeys
 from daisylift.models.desired_state import DesiredState
 from daisylift.models.registered_server import EntryMember, RegisteredServer
 from daisylift_node.version.documents import (
@@ -81,6 +82,7 @@
         self.location = location
         self.region_by_domain = region_by_domain
         self.routes: RouteTable | None = None
+        self.tenant_keys = TenantKeys()
         self.members_by_name: dict[str, EntryMember] = {}
         self.member_names: tuple[str, ...] = ASSUMED_FLEET_NAMES
         self.evacuated_domains: frozenset[str] = frozenset()
@@ -422,9 +424,17 @@
             )
             return
         self.routes = RouteTable(state)
+        self.tenant_keys = TenantKeys(state.tenants_by_name.values())
         logger.bind(
-            version=state.version, revision=revision, routes=len(state.routes)
+            version=state.version,
+            revision=revision,
+            routes=len(state.routes),
+            tenants=len(state.tenants_by_name),
         ).info('desired state in force')
+        if self.tenant_keys.ambiguous_digests:
+            logger.bind(
+                version=state.version, keys=len(self.tenant_keys.ambiguous_digests)
+            ).warning('keys that several tenants hold are accepted for none of them')
         self._notify_changed()
 
     def _is_return(self, replica: Replica) -> bool:
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -55,8 +55,10 @@
     }
 
 
-def make_desired_state(version: int, *rules: dict[str, Any]) -> dict[str, Any]:
-    """Return a desired state document."""
+def make_desired_state(
+    version: int, *rules: dict[str, Any], **fields: Any
+) -> dict[str, Any]:
+    """Return a desired state document; ``fields`` are further ones of it."""
     return {
         'version': f'{version:08x}',
         'limits': {'body_bytes': 100_000, 'idle_timeout_ms': 15000},
@@ -65,6 +67,7 @@
             {'name': name, 'health_path': '/health', 'cold_per_s': 19.0}
             for name in ('catalogue', 'till')
         ],
+        **fields,
     }
 
 
@@ -151,9 +154,12 @@
         if self.owns_store:
             await self.store.stop()
 
-    async def configure(self, version: int, *rules: dict[str, Any]) -> None:
+    async def configure(
+        self, version: int, *rules: dict[str, Any], **fields: Any
+    ) -> None:
         """Write a desired state and wait until the entry VM applies it."""
-        self.store.write('config', 'main', make_desired_state(version, *rules))
+        state = make_desired_state(version, *rules, **fields)
+        self.store.write('config', 'main', state)
         await asyncio.sleep(SETTLE_SECONDS)
 
     async def register(self, **registrations: dict[str, Any]) -> None:
