Send keys in the soak, and take them away

Each version of the desired state adds a key and takes one away, and callers send held, new and removed keys and claim a tenant. The ledger finds servers that get a key or a tenant that does not hold it, keys in use after their time, and 401 for keys that are held, at VMs that were not disturbed. test_soak_ledger shows each of these findings, and its absence within the time that a change may take.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -8,7 +8,7 @@
 import aiohttp
 
 from daisylift_node.connection.send_once import SendOnce
-from soak.fleet import EntryVm, Fleet
+from soak.fleet import EntryVm, Fleet, key_of
 from soak.ledger import RequestOutcome
 from tests.fakes.loopback import DIRECTORY_PORT
 
@@ -19,6 +19,7 @@
 ADDRESSES_TTL_SECONDS = 2.0  # maximum time for which a directory response is used
 DIRECTORY_TIMEOUT_SECONDS = 1.0
 OBJECT_COUNT = 40
+ODD_KEY_SHARE = 0.1  # share of the requests with a new key, and with one taken away
 
 
 @dataclass(slots=True)
@@ -29,6 +30,7 @@
     rng: random.Random
     is_stopping: bool = False
     _numbers: itertools.count = field(default_factory=itertools.count)
+    _key_rng: random.Random = field(default_factory=lambda: random.Random(1))
 
     async def call(self, domain: str) -> None:
         """Send requests from one caller, one at a time, until the soak ends."""
@@ -63,6 +65,7 @@
         request_id = f'r{number}'
         version = len(self.fleet.ledger.versions)
         prefix = self.rng.choice(('a', 'a', 'o', 'm', f'n{version}'))
+        key = self._choose_key(version)
         path = f'/{prefix}/{self.rng.randrange(OBJECT_COUNT)}'
         is_aborted = self.rng.random() < ABORTED_SHARE
         seconds = ABORT_AFTER_SECONDS if is_aborted else DEADLINE_MS / 1000.0 + 1.0
@@ -76,6 +79,8 @@
                 data=b'pay' if prefix == 'o' else None,
                 headers={
                     'Host': 'a.example',
+                    'Authorization': f'Bearer {key}',
+                    'Tenant': 'claimed',
                     'Request-Id': request_id,
                     'Affinity-Key': path,
                     'Deadline-Milliseconds': str(DEADLINE_MS),
@@ -106,6 +111,14 @@
                 is_aborted=is_aborted,
                 limited_server=limited_server,
                 leaving_server=leaving_server,
+                key=key,
             )
         )
         return status is not None
+
+    def _choose_key(self, version: int) -> str:
+        """Return a key that is in force, mostly; else a new one, or one taken away."""
+        drawn = self._key_rng.random()
+        if drawn < ODD_KEY_SHARE:
+            return key_of(version)
+        return key_of(version - (3 if drawn < 2.0 * ODD_KEY_SHARE else 1))
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -55,6 +55,11 @@
 ERROR_LOG_TEXT = '"level": "ERROR"'
 
 
+def key_of(version: int) -> str:
+    """Return the key that a version of the desired state adds."""
+    return f'key-{version}'
+
+
 class SoakError(Exception):
     """Raised when the soak itself cannot continue."""
 
@@ -165,7 +170,10 @@
             self.ledger.errors.append(f'soak task failed: {error!r}')
 
     def write_desired_state(self) -> None:
-        """Write a new desired state: move one route, add one, remove an older one."""
+        """Write a new desired state: move one route, add one, remove an older one.
+
+        Keys change likewise: each is held for two versions.
+        """
         number = len(self.ledger.versions) + 1
         moved = 'catalogue' if number % 2 else 'spare'
         service_by_prefix = {'/a/': 'catalogue', '/o/': 'till', '/m/': moved}
@@ -175,9 +183,14 @@
             make_rule(prefix, service, kinds.get(prefix, 'safe'), timeout_ms=2000)
             for prefix, service in service_by_prefix.items()
         ]
-        document = make_desired_state(number, *rules)
+        tenant_by_key = {key_of(n): f'tenant-{n % 2}' for n in (number - 1, number)}
+        tenants = [
+            {'name': name, 'keys': [key], 'priority': 1}
+            for key, name in tenant_by_key.items()
+        ]
+        document = make_desired_state(number, *rules, tenants=tenants)
         self.ledger.versions.append(
-            DesiredStateVersion(number, self.now(), service_by_prefix)
+            DesiredStateVersion(number, self.now(), service_by_prefix, tenant_by_key)
         )
         self.store.write('config', 'main', document)
 
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -30,6 +30,7 @@
 SERVED_SHARE = 0.9  # minimum share of the requests served in the final calm
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 NO_ROUTE_STATUS = 404
+NO_TENANT_STATUS = 401
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,7 +48,7 @@
     ``status`` is None if no complete response was received. ``is_aborted`` is set if
     the caller aborted the request early. ``limited_server`` is the server that
     answered, if it named a request rate limit, and ``leaving_server`` if it said that
-    it leaves.
+    it leaves. ``key`` is the key that the caller sent.
     """
 
     request_id: str
@@ -62,6 +63,7 @@
     is_aborted: bool = False
     limited_server: str = ''
     leaving_server: str = ''
+    key: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,16 +117,26 @@
 
 @dataclass(frozen=True, slots=True)
 class DesiredStateVersion:
-    """One version of the desired state: the service of each path prefix."""
+    """One version of the desired state.
+
+    Without a tenant in ``tenant_by_key``, no request needs a key.
+    """
 
     number: int
     at: float
     service_by_prefix: dict[str, str]
+    tenant_by_key: dict[str, str] = field(default_factory=dict)
 
     def service(self, path: str) -> str | None:
         """Return the service of the path, or None if it has no route."""
         return self.service_by_prefix.get(path[: path.rfind('/') + 1])
 
+    def tenants(self, key: str) -> tuple[str, ...] | None:
+        """Return what names the tenant to servers, or None if the key is refused."""
+        if not self.tenant_by_key:
+            return ()
+        return (self.tenant_by_key[key],) if key in self.tenant_by_key else None
+
 
 @dataclass(slots=True)
 class Ledger:
@@ -171,6 +183,7 @@
             found += self._check_response(outcome)
             found += self._check_executions(outcome)
             found += self._check_time_limits(outcome)
+            found += self._check_keys(outcome)
             found += self._check_planned_stops(outcome)
         found += [Finding('no unexpected exit', text) for text in self.unexpected_exits]
         found += [Finding('no error', text) for text in self.errors]
@@ -234,6 +247,34 @@
                 f'{outcome.request_id} {outcome.path} at {outcome.vm}: old version',
             )
 
+    def _check_keys(self, outcome: RequestOutcome) -> Iterator[Finding]:
+        """Find runs for a wrong tenant, and keys in use before or after their time."""
+        runs = self.runs_by_id[outcome.request_id]
+        if any(run.has_key for run in runs):
+            yield Finding(
+                'key kept back', f'{outcome.request_id}: a server got the key'
+            )
+        held = {version.tenants(outcome.key) for version in self.versions}
+        for run in runs:
+            if run.tenants not in held:
+                yield Finding('tenant', f'{outcome.request_id} ran for {run.tenants}')
+        if not self.was_stable(outcome.vm, outcome.sent_at):
+            return
+        in_force = {
+            each.tenants(outcome.key)
+            for each in self._versions_in_force(outcome.sent_at, outcome.ended_at)
+        }
+        if runs and in_force == {None}:
+            yield Finding('key taken away', f'{outcome.request_id} at {outcome.vm}')
+        if outcome.status == NO_TENANT_STATUS and None not in in_force:
+            yield Finding('key added', f'{outcome.request_id} at {outcome.vm}')
+
+    def _versions_in_force(self, start: float, end: float) -> list[DesiredStateVersion]:
+        """Return the versions that may be in force between two times."""
+        due = [v for v in self.versions if v.at <= start - CONFIG_LIMIT_SECONDS]
+        oldest = due[-1].number if due else 0
+        return [v for v in self.versions if v.number >= oldest and v.at <= end]
+
     def _matches_version_in_force(self, outcome: RequestOutcome) -> bool | None:
         """Return whether a version that may be in force explains the outcome.
 
@@ -413,7 +454,12 @@
                     )
 
     def _check_recovery(self) -> Iterator[Finding]:
-        late = [each for each in self.outcomes if each.sent_at >= self.calm_since]
+        late = [
+            each
+            for each in self.outcomes
+            if each.sent_at >= self.calm_since
+            and not (self.versions and self.versions[-1].tenants(each.key) is None)
+        ]
         served = sum(each.status == 200 for each in late)
         if not late or served < SERVED_SHARE * len(late):
             yield Finding(
--- a/tests/fakes/entry_demo.py
+++ b/tests/fakes/entry_demo.py
@@ -7,7 +7,7 @@
 
 import aiohttp
 
-from soak.fleet import Fleet
+from soak.fleet import Fleet, key_of
 from tests.entry_harness import HOST
 from tests.fakes.loopback import DIRECTORY_PORT
 
@@ -90,6 +90,7 @@
         'Host': HOST,
         'Request-Id': request_id,
         'Affinity-Key': '12',
+        'Authorization': f'Bearer {key_of(1)}',  # also held in the next version
         'Deadline-Milliseconds': '5000',
     }
 
--- a/tests/test_soak_ledger.py
+++ b/tests/test_soak_ledger.py
@@ -297,3 +297,52 @@
     assert kinds == set(STATEMENT_KINDS)
     for each in plan:
         assert each.at + each.duration_seconds <= 20.0 - FINAL_CALM_SECONDS
+
+
+def with_keys(outcome: RequestOutcome, *runs: ServerRun) -> Ledger:
+    """Return a ledger in which version 2 takes the key k-1 away and adds k-2."""
+    ledger = a_ledger(outcome, *runs)
+    ledger.versions = [
+        replace(OLD_VERSION, tenant_by_key={'k-1': 'a'}),
+        replace(NEW_VERSION, tenant_by_key={'k-2': 'b'}),
+    ]
+    return ledger
+
+
+@pytest.mark.parametrize(
+    ('key', 'at', 'run', 'guarantees'),
+    [
+        ('k-1', 5.0, {'tenants': ('a',)}, set()),
+        ('k-1', 5.0, {'tenants': ('a',), 'has_key': True}, {'key kept back'}),
+        ('k-1', 5.0, {'tenants': ('b',)}, {'tenant'}),
+        ('k-1', 5.0, {'tenants': ('a', 'a')}, {'tenant'}),
+        ('k-1', 5.0, {}, {'tenant'}),
+        ('k-1', 10.1 + CONFIG_LIMIT_SECONDS, {'tenants': ('a',)}, {'key taken away'}),
+        ('k-1', 9.9 + CONFIG_LIMIT_SECONDS, {'tenants': ('a',)}, set()),
+        ('k-2', 11.0, {'tenants': ('b',)}, set()),
+        ('k-3', 5.0, {'tenants': ('a',)}, {'tenant', 'key taken away'}),
+    ],
+)
+def test_a_run_for_a_key_that_is_not_held_is_found(
+    key: str, at: float, run: dict[str, object], guarantees: set[str]
+) -> None:
+    outcome = an_outcome(at=at, key=key)
+    ledger = with_keys(outcome, replace(a_run(at=at), **run))
+    assert violated_guarantees(ledger) == guarantees
+
+
+@pytest.mark.parametrize(
+    ('key', 'at', 'guarantees'),
+    [
+        ('k-1', 5.0, {'key added'}),
+        ('k-1', 10.5, set()),
+        ('k-2', 11.0, set()),
+        ('k-2', 10.1 + CONFIG_LIMIT_SECONDS, {'key added'}),
+        ('k-3', 20.0, set()),
+    ],
+)
+def test_a_refusal_of_a_key_that_is_held_is_found(
+    key: str, at: float, guarantees: set[str]
+) -> None:
+    ledger = with_keys(an_outcome(at=at, key=key, status=401))
+    assert violated_guarantees(ledger) == guarantees
