Keep the lines of unreadable requests out of the log

A caller whose request could not be parsed had the line that the parser stopped at written into the log at ERROR, with its key if it stood there, and sent back to it in the response.

Cause: the library's connection logs the parser's error, which quotes the line, for every status. The caller's connection of an entry VM now answers such requests itself, as that of the own interface does, and logs the status and the class of the error only. Errors of the program, status 500, are logged as before.

--- a/packages/daisylift-node/src/daisylift_node/process/entry_application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_application.py
@@ -23,6 +23,7 @@
 from daisylift.decisions.retry_budget import RetryBudget, RetryLimits
 from daisylift.models.desired_state import CallerLimits
 from daisylift.models.registered_server import MAX_INCARNATION, EntryMember
+from daisylift_node.connection.entry_connection import EntryConnection
 from daisylift_node.connection.server_pool import ServerPool
 from daisylift_node.entry_config import DEFAULT_CALLER_TTL_SECONDS, EntrySettings
 from daisylift_node.platform import (
@@ -350,9 +351,9 @@
         routes = self.view.routes
         return routes.state.limits if routes else CallerLimits()
 
-    def _make_caller_connection(self) -> web.RequestHandler:
+    def _make_caller_connection(self) -> EntryConnection:
         limits = self._limits()
-        return web.RequestHandler(
+        return EntryConnection(
             self._caller_server,
             loop=asyncio.get_running_loop(),
             keepalive_timeout=limits.idle_timeout_seconds,
--- a/tests/test_entry_tenants.py
+++ b/tests/test_entry_tenants.py
@@ -226,3 +226,31 @@
     assert 'daisylift_tenant_requests{outcome="answered",tenant="huka"} 1.0' in metrics
     assert 'reason="key_unknown"' in metrics
     assert 'key-' not in logs.stream.getvalue() + metrics
+
+
+@pytest.mark.parametrize(
+    'head',
+    [
+        b'GET /x/1 HTTP/1.1\r\nAuthorization: Bearer key-1\x01\x00\r\n\r\n',
+        b'GET /x/1 HTTP/1.1\r\nAuthorization : Bearer key-1\r\n\r\n',
+        b'GET /x/1 HTTP/1.1\r\nBearer key-1\r\n\r\n',
+        b'GET /x/1 HTTP/1.1\r\nAuthorization: Bearer key-1'
+        + b'x' * 20_000
+        + b'\r\n\r\n',
+        b'Authorization: Bearer key-1\r\nGET /x/1 HTTP/1.1\r\n\r\n',
+    ],
+)
+async def test_no_key_of_an_unreadable_request_is_logged(
+    head: bytes, logs: LogCapture, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Parsers put the line that they cannot read into their errors."""
+    async with EntryHarness() as harness:
+        await harness.configure(1, RULE, tenants=[TENANT])
+        assert harness.application is not None
+        address = harness.application.settings.listen.caller
+        reader, writer = await asyncio.open_connection(str(address.host), address.port)
+        writer.write(head)
+        status = await asyncio.wait_for(reader.read(12), 5.0)
+        writer.close()
+    assert status[9:10] == b'4'
+    assert 'key-1' not in logs.stream.getvalue() + caplog.text
