--- a/tests/test_entry_tenants.py
+++ b/tests/test_entry_tenants.py
@@ -7,6 +7,9 @@
 import pytest
 from multidict import CIMultiDict
 
+from daisylift.models.registered_server import RegisteredServer
+from daisylift_node.connection.server_connection import ServerConnection
+from daisylift_node.connection.server_pool import ServerPool
 from tests.entry_harness import EntryHarness, make_registration, make_rule
 from tests.fakes.scripted_server import Script, ScriptedServer, http_response
 from tests.utils import LogCapture, wait_until
@@ -254,3 +257,24 @@
         writer.close()
     assert status[9:10] == b'4'
     assert 'key-1' not in logs.stream.getvalue() + caplog.text
+
+
+async def test_a_request_is_not_written_once_its_key_is_taken_away(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The key is taken away while a connection to the server is opened."""
+    open_at_once = ServerPool._open
+
+    async def open_late(pool: ServerPool, server: RegisteredServer) -> ServerConnection:
+        await asyncio.sleep(0.4)
+        return await open_at_once(pool, server)
+
+    monkeypatch.setattr(ServerPool, '_open', open_late)
+    async with ScriptedServer([Script(COMPLETE)]) as server, EntryHarness() as harness:
+        await harness.configure(1, RULE, tenants=[TENANT])
+        await harness.register(i_1=make_registration(server))
+        sent = asyncio.create_task(harness.send(headers=KEY))
+        await asyncio.sleep(0.1)
+        await harness.configure(2, RULE, tenants=[OTHER_TENANT])
+        assert (await sent).status == 401
+        assert server.requests == []
