--- a/packages/daisylift-node/src/daisylift_node/connection/entry_connection.py
+++ b/packages/daisylift-node/src/daisylift_node/connection/entry_connection.py
@@ -1,10 +1,13 @@
-"""One connection of a caller to an entry VM, which a planned stop ends in time.
+"""One connection of a caller to an entry VM.
 
+A planned stop ends it in time, and what cannot be read is answered without its text.
 Relies, as its subclass does, on private attributes of aiohttp's RequestHandler.
 """
 
 from aiohttp import web
+from loguru import logger
 
+FIRST_SERVER_ERROR = 500
 NOT_READ = (
     b'HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.3\r\n'
     b'Connection: close\r\nContent-Length: 0\r\n\r\n'
@@ -27,6 +30,29 @@
         if was_waiting and data:
             self._has_partial_head = self._is_waiting
 
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = FIRST_SERVER_ERROR,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Return the response to a request that is unreadable, or failed.
+
+        The errors of the parser quote the line that it cannot read, which may hold a
+        key. Neither the log nor the response repeats them.
+        """
+        if status >= FIRST_SERVER_ERROR:
+            return super().handle_error(request, status, exc, message)
+        logger.bind(status=status, error=type(exc).__name__).info(
+            'request cannot be read'
+        )
+        if request.writer.output_size > 0:
+            raise ConnectionError('a response has already begun')
+        response = web.Response(status=status, text='the request can not be read\n')
+        response.force_close()
+        return response
+
     @property
     def _is_waiting(self) -> bool:
         """Return whether no request has been read since the last response."""
--- a/packages/daisylift-node/src/daisylift_node/process/entry_application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_application.py
@@ -19,8 +19,8 @@
 from daisylift.decisions.entry_directory import select_entry_addresses
 from daisylift.decisions.entry_stop import EntryStopPhase, EntryStopPlan
 from daisylift.decisions.limit_shares import LimitShares
-from daisylift.decisions.port_retry import PortRetry
 from daisylift.decisions.pipelining import EARLY_MEMORY_SHARE, EarlyRequests
+from daisylift.decisions.port_retry import PortRetry
 from daisylift.decisions.ranking import Location
 from daisylift.decisions.region_shift import RegionShiftLimiter
 from daisylift.decisions.response_memory import ResponseMemory
@@ -66,6 +66,8 @@
 REGISTER_PERIOD_SECONDS = 0.5
 LOADED_POLL_SECONDS = 0.02  # short, so that a new VM registers at once
 REMOVE_LOST_PERIOD_SECONDS = 15.0
+TENANTS_PERIOD_SECONDS = 15.0  # of the figures of the tenants
+MAX_LOGGED_TENANTS = 10
 LISTEN_BACKLOG = 1024
 BYTES_PER_MB = 1024 * 1024
 STOP_POLL_SECONDS = 0.02
@@ -189,6 +191,7 @@
         self.timer.subscribe(CLOSE_IDLE_PERIOD_SECONDS, self.pool.close_idle)
         self.timer.subscribe(CLOSE_STALLED_PERIOD_SECONDS, self._close_stalled)
         self.timer.subscribe(REMOVE_LOST_PERIOD_SECONDS, self._remove_lost)
+        self.timer.subscribe(TENANTS_PERIOD_SECONDS, self.report_tenants)
         self.timer.subscribe(LOG_FLUSH_PERIOD_SECONDS, self._lines.drain)
         logger.bind(incarnation=self.member.incarnation).info('started')
 
@@ -312,6 +315,18 @@
     async def _wake(self) -> None:
         self.steering.wake_all()
 
+    async def report_tenants(self) -> None:
+        """Publish how the tenants were served in the period that ends."""
+        report = self.handler.tenant_stats.close_period()
+        self.metrics.set_tenants(report)
+        if report.worst_served_share is not None:
+            logger.bind(
+                tenants=report.tenants,
+                worst=report.worst_names[:MAX_LOGGED_TENANTS],
+                served_share=round(report.worst_served_share, 4),
+                seconds=TENANTS_PERIOD_SECONDS,
+            ).info('tenants served worst')
+
     async def _register(self) -> None:
         """Keep this VM registered, also after another VM removed it as lost."""
         while True:
@@ -415,10 +430,15 @@
             members.values(),
             self.peers.is_ready,
             random.random,
+            self._home_regions(query.host),
         )
         ttl = min(DEFAULT_CALLER_TTL_SECONDS, self.settings.bounds.ttl_max_s)
         return web.json_response(directory_reply(addresses, ttl))
 
+    def _home_regions(self, host: str) -> frozenset[str]:
+        routes = self.view.routes
+        return routes.home_regions(host) if routes else frozenset()
+
     async def _metrics_page(self, request: web.BaseRequest) -> web.Response:
         for kind, replica in self.view.replicas_by_kind.items():
             self.metrics.set_replica_revision(kind, replica.revision)
