Ignore SIGHUP earlier in a start

A SIGHUP before the first line of ours ends the process by the kernel, whatever we do. The window was the start of the interpreter, its `site` module and the imports of `signal` and `pathlib`.

--- a/deploy/entry.py
+++ b/deploy/entry.py
@@ -3,13 +3,14 @@
 The third-party libraries are in ``target/deps``, where the build step installs them.
 """
 
-import signal
-import sys
-from pathlib import Path
+import _signal  # built in; the module ``signal`` takes longer to import
 
 # SIGHUP requests a reload of the settings. It would end the process until the program
 # installs its handler. Before the settings have been read, it can be ignored.
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
+_signal.signal(_signal.SIGHUP, _signal.SIG_IGN)
+
+import sys  # noqa: E402
+from pathlib import Path  # noqa: E402
 
 CHECKOUT = Path(__file__).resolve().parents[1]
 for package in ('daisylift', 'daisylift-node'):
