Let the soak stop VMs under raw requests, held ports and early signals

Each VM has a raw caller with whole, slow, chunked, `Expect` and pipelined requests. Once or twice a run, the successor of a stopped VM starts while its ports are held, or both get SIGHUP in series; a stop that does not end with status 0 is a finding.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,8 +20,10 @@
     make_limit_plan,
     make_plan,
     make_return_plan,
+    make_start_plan,
     make_statement_plan,
 )
+from soak.raw_callers import WHOLE_KINDS, RawCallerGroup
 
 FLAGS = flags.FLAGS
 MAX_FINDINGS_SHOWN = 10
@@ -38,10 +40,14 @@
         domains = list(DOMAINS)
         for number in range(callers):
             fleet.spawn(caller_group.call(domains[number % len(domains)]))
+        raw_callers = RawCallerGroup(fleet, random.Random(f'raw/{seed}'))
+        for vm in fleet.vms:
+            fleet.spawn(raw_callers.call(vm, WHOLE_KINDS))
         plan = make_plan(seed, seconds) + make_limit_plan(seed, seconds)
         plan += make_return_plan(seed, seconds) + make_statement_plan(seed, seconds)
+        plan += make_start_plan(seed, seconds)
         await _inject_faults(fleet, sorted(plan, key=lambda each: each.at), seconds)
-        caller_group.is_stopping = True
+        caller_group.is_stopping = raw_callers.is_stopping = True
         fleet.read_logs()
         fleet.record_arrivals()
     finally:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -18,6 +18,11 @@
 MAX_COPY_SECONDS = 10.0  # age of the copy from which the store comes back
 MAX_LIMIT_PER_SECOND = 8.0
 LIMIT_FACTORS = {'keep': 1.0, 'raise': 2.0, 'lower': 0.4}
+STOP_OPTIONS: dict[str, dict[str, bool]] = {
+    'stop': {},
+    'stop_overlapping': {'launches_early': True},
+    'stop_signals': {'sends_signals': True},
+}
 PartT = TypeVar('PartT')
 STORE_FAULTS = {
     'store_down': {'down': True},
@@ -69,9 +74,10 @@
 
 async def _inject_vm_fault_or_change(fleet: Fleet, fault: Fault) -> None:
     vm = _pick(fleet.vms, fault.target_fraction)
+    if fault.kind in STOP_OPTIONS:
+        await fleet.stop_vm(vm, **STOP_OPTIONS[fault.kind])
+        return
     match fault.kind:
-        case 'stop':
-            await fleet.stop_vm(vm)
         case 'kill':
             await fleet.kill_vm(vm)
         case 'pause':
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -46,6 +46,7 @@
 RESTART_DELAY_SECONDS = 0.3  # from the end of a process to its restart
 START_TIMEOUT_SECONDS = 15.0  # starts are slow on a busy machine
 POLL_PERIOD_SECONDS = 0.05
+SIGNALS_SECONDS = 1.0  # of a start
 DRAINING_SECONDS = 4.0  # how long a draining server still serves
 HEARTBEAT_SECONDS = 1.5  # interval in which a server writes its registration
 SILENT_HEARTBEATS = 3  # after so many without one, the store drops a registration
@@ -293,21 +294,45 @@
         vm.is_changing = False
         self.record_disturbance(vm.name, start)
 
-    async def stop_vm(self, vm: EntryVm) -> None:
-        """Stop a VM by SIGTERM and restart it; kill it when its grace time is over."""
+    async def stop_vm(
+        self, vm: EntryVm, *, launches_early: bool = False, sends_signals: bool = False
+    ) -> None:
+        """Stop a VM by SIGTERM and restart it; kill it when its grace time is over.
+
+        With ``launches_early``, its successor starts while it holds its ports. With
+        ``sends_signals``, it gets SIGHUP until its end, and its successor in its start.
+        """
         if vm.is_changing or vm.process is None:
             return
         vm.is_changing = True
         start = self.now()
+        leaving = vm.process
+        leaving.terminate()
+        if sends_signals:
+            self.spawn(_send_reloads(leaving))
+        if launches_early:
+            await self._launch(vm)
+        await self._wait_for_end(vm, leaving)
+        if not launches_early:
+            await asyncio.sleep(RESTART_DELAY_SECONDS)
+            await self._launch(vm)
+        if sends_signals and vm.process is not None:
+            self.spawn(_send_reloads(vm.process, SIGNALS_SECONDS))
+        await self._wait_until_listening(vm)
+        self.record_disturbance(vm.name, start, planned=True)
+
+    async def _wait_for_end(
+        self, vm: EntryVm, process: asyncio.subprocess.Process
+    ) -> None:
+        """Wait until the stop has ended; record it if it did not end by itself."""
         try:
-            vm.process.terminate()
             timeout = GRACE_SECONDS + KILL_DELAY_SECONDS
-            await asyncio.wait_for(vm.process.wait(), timeout)
+            status = await asyncio.wait_for(process.wait(), timeout)
         except TimeoutError:
-            vm.process.kill()
-            await vm.process.wait()
-        await self._restart(vm)
-        self.record_disturbance(vm.name, start, planned=True)
+            process.kill()
+            status = await process.wait()
+        if status:
+            self.ledger.unexpected_exits.append(f'{vm.name} stopped with {status}')
 
     async def kill_vm(self, vm: EntryVm) -> None:
         """Kill a VM and restart it."""
@@ -353,6 +378,9 @@
     async def _restart(self, vm: EntryVm) -> None:
         await asyncio.sleep(RESTART_DELAY_SECONDS)
         await self._launch(vm)
+        await self._wait_until_listening(vm)
+
+    async def _wait_until_listening(self, vm: EntryVm) -> None:
         deadline = self.now() + START_TIMEOUT_SECONDS
         while self.now() < deadline:
             try:
@@ -409,3 +437,27 @@
             f'[bounds]\ngrace_s = {GRACE_SECONDS}\n'
         )
         return vm
+
+
+async def _send_reloads(
+    process: asyncio.subprocess.Process, seconds: float = START_TIMEOUT_SECONDS
+) -> None:
+    """Send SIGHUP from when the process does not end by it, until it has ended."""
+    loop = asyncio.get_running_loop()
+    ends_at = loop.time() + seconds
+    while process.returncode is None and loop.time() < ends_at:
+        if survives(process.pid, signal.SIGHUP):
+            process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(POLL_PERIOD_SECONDS / 10)
+
+
+def survives(pid: int, number: signal.Signals) -> bool:
+    """Return whether the process ignores or catches the signal, according to /proc."""
+    try:
+        lines = Path(f'/proc/{pid}/status').read_text().splitlines()
+    except OSError:
+        return False  # it has ended
+    masks = [
+        line.partition(':')[2] for line in lines if line[:6] in ('SigIgn', 'SigCgt')
+    ]
+    return any(int(mask, 16) >> (number - 1) & 1 for mask in masks)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -28,6 +28,8 @@
 STATEMENT_KINDS = ('says_leaving', 'says_paused')
 MAX_STATEMENT_SECONDS = 3.0  # of a pause
 MAX_STATEMENT_GAP_SECONDS = 4.0
+START_KINDS = ('stop_overlapping', 'stop_signals')
+MAX_STARTS = 2
 ADD_VM_KIND = 'add_vm'
 RETURN_KIND = 'store_return'
 MAX_RETURNS = 2
@@ -110,6 +112,19 @@
     return faults
 
 
+def make_start_plan(seed: int, seconds: float) -> list[Fault]:
+    """Return restarts whose successor meets held ports, or signals in its start.
+
+    They are drawn apart from the other faults, which so stay the same for a seed.
+    """
+    rng = random.Random(f'starts/{seed}')
+    end = seconds - FINAL_CALM_SECONDS
+    return [
+        Fault(rng.choice(START_KINDS), rng.uniform(0.0, 0.6 * end), 0.0, rng.random())
+        for _ in range(rng.randint(1, MAX_STARTS))
+    ]
+
+
 def make_return_plan(seed: int, seconds: float) -> list[Fault]:
     """Return the returns of the store from an older copy, each with a change after it.
 
--- a/soak/raw_callers.py
+++ b/soak/raw_callers.py
@@ -15,7 +15,8 @@
 from soak.ledger import RequestOutcome
 from tests.fakes.loopback import CALLER_PORT
 
-KINDS = ('whole', 'length', 'chunked', 'expect', 'pipelined', 'stalled')
+WHOLE_KINDS = ('whole', 'length', 'chunked', 'expect', 'pipelined')
+KINDS = (*WHOLE_KINDS, 'stalled')
 DEADLINE_MS = 2000
 RESPONSE_SECONDS = 6.0
 PIECES = 5
