End the copies of peers when an entry VM stops

A planned stop waited up to 60 s for a peer, or two times 60 s, that read its copy of the store slowly, as that is the default of the HTTP library; the platform would have killed the process at the end of its grace period. Found by looking for waits without an end in the stop. The limit is 0.05 s now, and the side servers end at the same time, so that the rest of a stop fits into the time that is reserved for it. The new test on the old code: the stop had not ended after 2 s of a grace period of 2 s; it passes now.

--- a/packages/daisylift-node/src/daisylift_node/process/entry_application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_application.py
@@ -286,7 +286,9 @@
             listener.close()
         for server in self._side_servers:
             server.pre_shutdown()
-            await server.shutdown(SIDE_STOP_SECONDS)
+        await asyncio.gather(
+            *(each.shutdown(SIDE_STOP_SECONDS) for each in self._side_servers)
+        )
 
     @property
     def is_ready(self) -> bool:
--- a/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
+++ b/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
@@ -56,6 +56,7 @@
 LIMITS_PERIOD_SECONDS = 0.5
 FETCH_DELAY_SECONDS = 0.3  # this VM's own watch has usually caught up by then
 FETCH_TIMEOUT_SECONDS = 1.0
+COPY_STOP_SECONDS = 0.05  # a peer whose copy is cut off fetches it from another VM
 MAX_COPY_BYTES = 32 * 1024 * 1024
 COPY_PATH = '/copies/{kind}'
 SINCE_QUERY = 'since'
@@ -99,7 +100,9 @@
         self._session = aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=FETCH_TIMEOUT_SECONDS)
         )
-        self._runner = web.ServerRunner(web.Server(self._serve_copy))
+        self._runner = web.ServerRunner(
+            web.Server(self._serve_copy), shutdown_timeout=COPY_STOP_SECONDS
+        )
         await self._runner.setup()
         runner = self._runner
         await ports.open(*address, lambda: web.TCPSite(runner, *address).start())
--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -8,6 +8,7 @@
 from daisylift.decisions import entry_stop
 from tests.entry_harness import EntryHarness, make_registration, make_rule
 from tests.fakes.scripted_server import Script, ScriptedServer, http_response
+from tests.utils import wait_until
 
 BODY = b'x' * 50_000  # below the size at which the transport pauses its writer
 RESPONSE = http_response(BODY, 'r-1')
@@ -103,3 +104,28 @@
         assert len(server.requests) == (status == 200)
         assert (b'Retry-After' in answer) == (status == 503)
         writer.close()
+
+
+async def test_a_peer_that_reads_its_copy_slowly_does_not_prolong_a_stop() -> None:
+    """The process would be killed when its grace period is over."""
+    async with EntryHarness(grace_seconds=GRACE_SECONDS) as harness:
+        for number in range(200):
+            document = {'padding': 'x' * 50_000}
+            harness.store.write('servers', f'i-{number}', document)
+        application = harness.application
+        assert application is not None
+        replica = application.view.replicas_by_kind['servers']
+        await wait_until(lambda: len(replica.documents_by_name) == 200)
+        vm = application.settings.vm
+        port = application.settings.peer.port
+        with socket.socket() as peer:
+            peer.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+            peer.setblocking(False)
+            loop = asyncio.get_running_loop()
+            await loop.sock_connect(peer, (vm.host, port))
+            await loop.sock_sendall(
+                peer, b'GET /copies/servers HTTP/1.1\r\nHost: a\r\n\r\n'
+            )
+            await loop.sock_recv(peer, 10)
+            async with asyncio.timeout(GRACE_SECONDS):
+                await application.stop()
