Answer pipelined requests of the own interface while a node stops

The class of the entry VM fault, looked for elsewhere: while a node announced its stop, the response to the first of several pipelined requests closed the connection, and the others, which had been read, got none. Connection: close goes with the last of them now. The new test on the old code: 1 of 3 answered; it passes now. Bodies of this interface had a limit in time already, and its stop closes no connection with a request under way.

--- a/packages/daisylift-node/src/daisylift_node/connection/caller.py
+++ b/packages/daisylift-node/src/daisylift_node/connection/caller.py
@@ -9,6 +9,7 @@
 
 from daisylift import headers
 from daisylift.outcome import Outcome
+from daisylift_node.connection.entry_connection import has_queued_requests
 from daisylift_node.request.call import SERVICES_PREFIX
 from daisylift_node.request.problem import (
     Reason,
@@ -53,14 +54,18 @@
 
 
 class CallerRequest(web.BaseRequest):
-    """A request of a caller; ``must_close`` ends its connection after the response."""
+    """A request of a caller.
+
+    ``must_close`` ends its connection after the responses to all that was read.
+    """
 
     must_close = False
 
     @property
     def keep_alive(self) -> bool:
         """Return whether the connection stays open after the response."""
-        return super().keep_alive and not self.must_close
+        may_close = self.must_close and not has_queued_requests(self)
+        return super().keep_alive and not may_close
 
 
 class CallerServer(web.Server):
--- a/packages/daisylift-node/src/daisylift_node/connection/entry_connection.py
+++ b/packages/daisylift-node/src/daisylift_node/connection/entry_connection.py
@@ -1,4 +1,4 @@
-"""One connection of a caller to an entry VM, which a planned stop ends in time.
+"""Connections of callers that a planned stop ends in time.
 
 The only module that relies on private attributes of aiohttp's RequestHandler.
 """
@@ -32,11 +32,6 @@
         """Return whether no request has been read since the last response."""
         return self._waiter is not None and not self._waiter.done()
 
-    @property
-    def has_queued_requests(self) -> bool:
-        """Return whether further requests were read behind the current one."""
-        return bool(self._messages)
-
     def close_if_idle(self) -> None:
         """Close the connection unless a request, or part of one, was read."""
         if self._is_waiting and not self._has_partial_head:
@@ -54,4 +49,4 @@
 def has_queued_requests(request: web.BaseRequest) -> bool:
     """Return whether the caller has sent further requests behind this one."""
     connection = request.protocol
-    return isinstance(connection, EntryConnection) and connection.has_queued_requests
+    return connection is not None and bool(connection._messages)
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 import pytest
+import yarl
 from aiohttp import web
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -157,3 +158,20 @@
     policy = Policy(failure_domains=(), roster=(), services=(service,))
     announce = announce_seconds(3.0, policy)
     assert longest_stop_seconds(3.0, 30.0) >= announce + 30.0
+
+
+async def test_pipelined_requests_get_answers_while_announcing():
+    """Those read behind the first one were dropped when its connection closed."""
+    harness = StopHarness(announce=60.0, finish=0.0)
+    runner, url = await harness.serve()
+    stopping = asyncio.create_task(harness.stop.run(EMPTY))
+    await wait_until(lambda: harness.stop.phase is StopPhase.ANNOUNCING)
+    address = yarl.URL(url)
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(f'GET {address.path}/quick HTTP/1.1\r\nHost: a\r\n\r\n'.encode() * 3)
+    answers = await reader.read()
+    assert answers.count(b'HTTP/1.1 200 ') == 3
+    assert answers.count(b'Connection: close') == 1
+    writer.close()
+    stopping.cancel()
+    await runner.cleanup()
