Let an entry VM that starts learn which requests crash servers

Cause: crashes are announced for ten rounds of gossip, and a VM that starts later is told nothing.

A VM asks the first three peers that it hears from for what they know, over the peers port, once after its start. Peers of an older version answer 404 and are taken to know nothing.

--- a/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
+++ b/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
@@ -40,6 +40,7 @@
     name_hash,
 )
 from daisylift_node.process.open_ports import PortOpener
+from daisylift_node.process.poison_copies import POISON_KIND, PoisonCopies
 from daisylift_node.process.poison_requests import PoisonRequestRegister
 from daisylift_node.version.documents import (
     DocumentChange,
@@ -80,6 +81,7 @@
             ),
         )
         self._poison_notices = PoisonNoticeQueue()
+        self._poison_copies = PoisonCopies(self.poison_requests)
         self._member = member
         self._view = view
         self._clock = clock
@@ -111,6 +113,7 @@
         """Cancel fetches and close all sockets."""
         for task in self._fetches.values():
             task.cancel()
+        self._poison_copies.stop()
         if self._transport is not None:
             self._transport.close()
         if self._session is not None:
@@ -148,6 +151,8 @@
         for limit in gossip.limits:
             self._view.apply_limit_notice(limit, now)
         url = f'http://{address[0]}:{address[1]}'
+        if self._session is not None:
+            self._poison_copies.fetch_after_start(self._session, url)
         replicas = self._view.replicas_by_kind.values()
         positions = zip_longest(gossip.eras, gossip.revisions, fillvalue=0)
         for replica, position in zip(replicas, positions, strict=False):
@@ -306,6 +311,8 @@
 
     async def _serve_copy(self, request: web.BaseRequest) -> web.Response:
         kind = request.path.rpartition('/')[2]
+        if kind == POISON_KIND:
+            return self._poison_copies.response()
         replica = self._view.replicas_by_kind.get(kind)
         if replica is None or not replica.is_loaded:
             return web.Response(status=404)
--- a/packages/daisylift-node/src/daisylift_node/process/poison_requests.py
+++ b/packages/daisylift-node/src/daisylift_node/process/poison_requests.py
@@ -5,7 +5,11 @@
 
 from loguru import logger
 
-from daisylift.decisions.poison_requests import Digest, PoisonRequestCounter
+from daisylift.decisions.poison_requests import (
+    Digest,
+    KnownCrashes,
+    PoisonRequestCounter,
+)
 
 CRASH_ID_BITS = 64
 ANSWERED = 0
@@ -62,3 +66,13 @@
         if crash_id == ANSWERED:
             return self._requests.record_response(digest, now)
         return self._requests.record_crash(digest, crash_id, now)
+
+    def known_crashes(self) -> list[KnownCrashes]:
+        """Return what this node knows, for a node that has started."""
+        return self._requests.known_crashes(self._clock())
+
+    def learn(self, crashes: list[KnownCrashes]) -> None:
+        """Add what a peer knows to what this node knows."""
+        now = self._clock()
+        for known in crashes:
+            self._requests.learn(known, now)
--- a/packages/daisylift/src/daisylift/decisions/poison_requests.py
+++ b/packages/daisylift/src/daisylift/decisions/poison_requests.py
@@ -48,6 +48,15 @@
     ids: set[int] = field(default_factory=set)
 
 
+@dataclass(frozen=True, slots=True)
+class KnownCrashes:
+    """What a node knows of one digest, for nodes that start later."""
+
+    digest: Digest
+    ids: tuple[int, ...]
+    remaining_seconds: float
+
+
 @dataclass(slots=True)
 class PoisonRequestCounter:
     """Counts server crashes by request digest, bounded in number and in time.
@@ -76,12 +85,31 @@
             return False
         record.ids.add(crash_id)
         record.expires_at = now + self.expiry_seconds
-        self._crashes_by_digest[digest] = record
-        self._crashes_by_digest.move_to_end(digest)
-        while len(self._crashes_by_digest) > MAX_DIGESTS:
-            self._crashes_by_digest.popitem(last=False)
+        self._store(digest, record)
         return True
 
+    def known_crashes(self, now: float) -> list[KnownCrashes]:
+        """Return all crashes that have not expired."""
+        return [
+            KnownCrashes(
+                digest,
+                tuple(record.ids),
+                record.expires_at - now,
+            )
+            for digest, record in self._crashes_by_digest.items()
+            if record.expires_at > now
+        ]
+
+    def learn(self, known: KnownCrashes, now: float) -> None:
+        """Add what a peer knows to what this node knows."""
+        if self._cleared_until.get(known.digest, now) > now:
+            return
+        record = self._unexpired(known.digest, now) or CrashRecord()
+        remaining = min(known.remaining_seconds, self.expiry_seconds)
+        record.expires_at = max(record.expires_at, now + remaining)
+        record.ids.update(known.ids[: MAX_CRASH_IDS - len(record.ids)])
+        self._store(known.digest, record)
+
     def record_response(self, digest: Digest, now: float) -> bool:
         """Clear a request that was answered; return whether it had crashes."""
         self._cleared_until[digest] = now + CLEARED_SECONDS
@@ -95,6 +123,12 @@
         record = self._unexpired(digest, now)
         return record is not None and len(record.ids) >= self.max_crashes
 
+    def _store(self, digest: Digest, record: CrashRecord) -> None:
+        self._crashes_by_digest[digest] = record
+        self._crashes_by_digest.move_to_end(digest)
+        while len(self._crashes_by_digest) > MAX_DIGESTS:
+            self._crashes_by_digest.popitem(last=False)
+
     def __len__(self) -> int:
         return len(self._crashes_by_digest)
 
--- a/tests/test_entry_poison_requests.py
+++ b/tests/test_entry_poison_requests.py
@@ -9,11 +9,13 @@
     make_registration,
     make_rule,
 )
+from tests.fakes.platform import FakePlatform
 from tests.fakes.scripted_server import Script, ScriptedServer, http_response
 
 COMPLETE = http_response(b'whole', 'r-1')
 CRASH = Script(b'', reset=True)
 GOSSIP_SPREAD_SECONDS = 1.0
+NOTICES_END_SECONDS = 3.0  # ten rounds of gossip, and a margin
 MAX_CRASHES = 3
 
 
@@ -76,6 +78,38 @@
         assert runs(servers) == before
 
 
+async def test_vms_that_start_later_stop_a_poison_request_too() -> None:
+    """Notices end after seconds; each restarted or added VM let three servers crash.
+
+    The VMs that saw the crashes are gone in the end.
+    """
+    async with AsyncExitStack() as stack:
+        servers = await a_fleet(stack, [CRASH] * 9)
+        store = FakePlatform()
+        await store.start()
+        stack.push_async_callback(store.stop)
+        vms = [
+            await stack.enter_async_context(a_vm(store, f'entry-{number}'))
+            for number in (1, 2)
+        ]
+        await vms[0].configure(1, make_rule('/x/', 'catalogue'))
+        await send_repeatedly(vms[0], servers, 3)
+        await asyncio.sleep(GOSSIP_SPREAD_SECONDS)
+        before = runs(servers)
+        for number, vm in enumerate(vms, 3):
+            await asyncio.sleep(NOTICES_END_SECONDS)
+            assert vm.application is not None
+            await vm.application.stop()
+            later = await stack.enter_async_context(a_vm(store, f'entry-{number}'))
+            await asyncio.sleep(GOSSIP_SPREAD_SECONDS)
+            assert (await later.send()).status == 503
+        assert runs(servers) == before == MAX_CRASHES
+
+
+def a_vm(store: FakePlatform, name: str) -> EntryHarness:
+    return EntryHarness(store=store, name=name, owns_store=False)
+
+
 async def test_an_unsafe_poison_request_is_never_reported_as_not_run() -> None:
     async with AsyncExitStack() as stack:
         servers = await a_fleet(stack, [CRASH] * 9)
--- a/tests/test_poison_requests.py
+++ b/tests/test_poison_requests.py
@@ -33,6 +33,26 @@
     assert not counter.is_blocked(DIGEST, 10.0 + poison_requests.CRASH_EXPIRY_SECONDS)
 
 
+def blocked_counter() -> PoisonRequestCounter:
+    counter = PoisonRequestCounter()
+    counter.record_crash(DIGEST, 1, 0.0)
+    counter.record_crash(DIGEST, 2, 0.0)
+    return counter
+
+
+def test_a_node_learns_what_another_knows_and_no_more():
+    known = blocked_counter().known_crashes(100.0)
+    started = PoisonRequestCounter()
+    for each in known * 2:
+        started.learn(each, 5.0)
+    assert started.is_blocked(DIGEST, 204.9)
+    assert not started.is_blocked(DIGEST, 205.0)
+    cleared = PoisonRequestCounter()
+    cleared.record_response(DIGEST, 4.0)
+    cleared.learn(known[0], 5.0)
+    assert not cleared.is_blocked(DIGEST, 5.0)
+
+
 def test_answer_clears_a_request_for_a_while():
     counter = PoisonRequestCounter()
     counter.record_crash(DIGEST, 1, 0.0)
