Refuse a poison request for as long as it comes again

Callers saw: 120 s after the third crash, the counts of an entry VM expired, and a poison request that still came crashed three more servers.

A refused request that comes again prolongs its refusals now, and peers are told when less than half of the time remains for them: those that it does not reach go on refusing as well. The notice is one of the existing kind with an id of its own, which older nodes count as one more crash. Each node passes it on at most once in half of the time. Refusals end 1,800 s after the last crash in any case: servers that are lost together may have made a harmless request look like a poison one, which would otherwise be refused as long as callers want it. Only the same service, method, target and body count, as before.

The new test replays a request each 10 s at one of two nodes: without the change it ran again 300 s after its last crash (the time of this counter); now it is refused at both until 1,800 s, with under 15 notices.

--- a/packages/daisylift-node/src/daisylift_node/process/poison_copies.py
+++ b/packages/daisylift-node/src/daisylift_node/process/poison_copies.py
@@ -85,6 +85,7 @@
         known.digest.hex(),
         [f'{each:x}' for each in known.ids],  # readers may limit numbers
         round(known.remaining_seconds, 3),
+        round(known.seconds_since_crash, 3),
     ]
 
 
@@ -96,15 +97,21 @@
         raise ValueError(f'invalid copy: {error}') from error
 
 
-def _read_entry(digest: str, ids: list[str], remaining: float) -> KnownCrashes:
+def _read_entry(
+    digest: str, ids: list[str], remaining: float, since_crash: float
+) -> KnownCrashes:
     known = KnownCrashes(
         bytes.fromhex(digest),
         tuple(int(each, 16) for each in ids),
         float(remaining),
+        float(since_crash),
     )
     are_ids = all(0 < each < 2**CRASH_ID_BITS for each in known.ids)
+    are_finite = math.isfinite(known.remaining_seconds) and math.isfinite(
+        known.seconds_since_crash
+    )
     if len(known.digest) != DIGEST_BYTES or len(known.ids) > MAX_CRASH_IDS:
         raise ValueError('invalid copy: a digest or its crashes')
-    if not are_ids or not math.isfinite(known.remaining_seconds):
+    if not are_ids or not are_finite:
         raise ValueError('invalid copy: the id or the time of a crash')
     return known
--- a/packages/daisylift-node/src/daisylift_node/process/poison_requests.py
+++ b/packages/daisylift-node/src/daisylift_node/process/poison_requests.py
@@ -13,6 +13,7 @@
 
 CRASH_ID_BITS = 64
 ANSWERED = 0
+REPEATED = 2**CRASH_ID_BITS - 1  # older nodes count it as one more crash
 
 Clock = Callable[[], float]
 Announce = Callable[[Digest, int], None]
@@ -23,7 +24,8 @@
 
     A connection that breaks while its server runs a request counts as a crash of the
     server. A notice carries the digest of a request and the id of a crash. The id
-    ANSWERED means that a server answered the request, so it is not a poison request.
+    ANSWERED means that a server answered the request, so it is not a poison request,
+    and REPEATED that a refused request came again.
     """
 
     def __init__(
@@ -38,7 +40,12 @@
 
     def is_blocked(self, digest: Digest) -> bool:
         """Return whether the request must not run again for now."""
-        return self._requests.is_blocked(digest, self._clock())
+        now = self._clock()
+        if not self._requests.is_blocked(digest, now):
+            return False
+        if self._requests.record_repeat(digest, now):
+            self._announce(digest, REPEATED)
+        return True
 
     def record_crash(self, digest: Digest, crash_id: int | None = None) -> None:
         """Count a crash that this node observed, and notify the peers.
@@ -65,6 +72,8 @@
         now = self._clock()
         if crash_id == ANSWERED:
             return self._requests.record_response(digest, now)
+        if crash_id == REPEATED:
+            return self._requests.record_repeat(digest, now)
         return self._requests.record_crash(digest, crash_id, now)
 
     def known_crashes(self) -> list[KnownCrashes]:
--- a/packages/daisylift/src/daisylift/decisions/poison_requests.py
+++ b/packages/daisylift/src/daisylift/decisions/poison_requests.py
@@ -4,7 +4,9 @@
 connection to the backend server broke is counted, on this node and on peers. At the
 limit, the request is refused on all nodes. A server that was merely killed also breaks
 the connections of harmless requests. Therefore a response clears a digest and protects
-it from being counted for a while, and counts expire.
+it from being counted for a while, and counts expire. As long as a refused request comes
+again, at any node, its refusals go on, up to a longest time: servers lost together may
+have made a harmless request look like a poison one.
 """
 
 import hashlib
@@ -14,6 +16,8 @@
 MAX_CRASHES = 2
 CRASH_EXPIRY_SECONDS = 300.0
 CLEARED_SECONDS = 60.0
+MAX_BLOCK_SECONDS = 1800.0  # from the last crash; then the request is tried again
+REFRESH_SHARE = 0.5  # of the expiry; peers are told when less of it remains
 MAX_DIGESTS = 4096
 MAX_CLEARED = 8192
 MAX_CRASH_IDS = 8
@@ -42,10 +46,15 @@
 
 @dataclass(slots=True)
 class CrashRecord:
-    """The crashes of one digest; ``ids`` identifies each, as messages may repeat."""
+    """The crashes of one digest; ``ids`` identifies each, as messages may repeat.
+
+    ``peers_expire_at`` is when they expire at peers that were told of them.
+    """
 
     expires_at: float = 0.0
+    peers_expire_at: float = 0.0
     ids: set[int] = field(default_factory=set)
+    last_crash_at: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +64,7 @@
     digest: Digest
     ids: tuple[int, ...]
     remaining_seconds: float
+    seconds_since_crash: float
 
 
 @dataclass(slots=True)
@@ -62,7 +72,8 @@
     """Counts server crashes by request digest, bounded in number and in time.
 
     A request is refused from ``max_crashes`` crashes on. Its crashes expire after
-    ``expiry_seconds`` without another one. The oldest digests are evicted first.
+    ``expiry_seconds`` without another one or, once it is refused, a repeat. The oldest
+    digests are evicted first.
     """
 
     max_crashes: int = MAX_CRASHES
@@ -84,10 +95,30 @@
         if crash_id in record.ids or len(record.ids) >= MAX_CRASH_IDS:
             return False
         record.ids.add(crash_id)
-        record.expires_at = now + self.expiry_seconds
+        record.expires_at = record.peers_expire_at = now + self.expiry_seconds
+        record.last_crash_at = now
         self._store(digest, record)
         return True
 
+    def record_repeat(self, digest: Digest, now: float) -> bool:
+        """Prolong the refusals of a request that came again, here or at a peer.
+
+        Return whether peers are to be told of it.
+        """
+        if not self.is_blocked(digest, now):
+            return False
+        record = self._crashes_by_digest[digest]
+        longest = record.last_crash_at + MAX_BLOCK_SECONDS
+        record.expires_at = min(now + self.expiry_seconds, longest)
+        remaining = record.peers_expire_at - now
+        if (
+            remaining >= REFRESH_SHARE * self.expiry_seconds
+            or record.expires_at <= record.peers_expire_at
+        ):
+            return False
+        record.peers_expire_at = record.expires_at
+        return True
+
     def known_crashes(self, now: float) -> list[KnownCrashes]:
         """Return all crashes that have not expired."""
         return [
@@ -95,6 +126,7 @@
                 digest,
                 tuple(record.ids),
                 record.expires_at - now,
+                now - record.last_crash_at,
             )
             for digest, record in self._crashes_by_digest.items()
             if record.expires_at > now
@@ -107,6 +139,9 @@
         record = self._unexpired(known.digest, now) or CrashRecord()
         remaining = min(known.remaining_seconds, self.expiry_seconds)
         record.expires_at = max(record.expires_at, now + remaining)
+        since_crash = max(0.0, known.seconds_since_crash)
+        record.peers_expire_at = record.expires_at
+        record.last_crash_at = max(record.last_crash_at, now - since_crash)
         record.ids.update(known.ids[: MAX_CRASH_IDS - len(record.ids)])
         self._store(known.digest, record)
 
--- a/tests/test_poison_requests.py
+++ b/tests/test_poison_requests.py
@@ -40,6 +40,28 @@
     return counter
 
 
+def test_a_request_that_comes_again_stays_blocked_at_nodes_that_it_does_not_reach():
+    """It came each 10 s at one node and was run again 300 s after its last crash."""
+    here, there = blocked_counter(), blocked_counter()
+    told = 0
+    for now in range(10, int(poison_requests.MAX_BLOCK_SECONDS), 10):
+        assert here.is_blocked(DIGEST, now)
+        if here.record_repeat(DIGEST, now):
+            told += 1
+            there.record_repeat(DIGEST, now)
+        assert there.is_blocked(DIGEST, now)
+    assert told < 15
+    assert not here.is_blocked(DIGEST, poison_requests.MAX_BLOCK_SECONDS)
+
+
+def test_repeats_of_requests_that_are_not_blocked_change_nothing():
+    counter = PoisonRequestCounter()
+    counter.record_crash(DIGEST, 1, 0.0)
+    assert not counter.record_repeat(DIGEST, 200.0)
+    assert not counter.is_blocked(DIGEST, 200.0)
+    assert counter.known_crashes(301.0) == []
+
+
 def test_a_node_learns_what_another_knows_and_no_more():
     known = blocked_counter().known_crashes(100.0)
     started = PoisonRequestCounter()
