--- a/packages/daisylift-node/src/daisylift_node/connection/entry_connection.py
+++ b/packages/daisylift-node/src/daisylift_node/connection/entry_connection.py
@@ -1,4 +1,4 @@
-"""One connection of a caller to an entry VM.
+"""Connections of callers to an entry VM.
 
 A planned stop ends it in time, and what cannot be read is answered without its text.
 Relies, as its subclass does, on private attributes of aiohttp's RequestHandler.
@@ -58,11 +58,6 @@
         """Return whether no request has been read since the last response."""
         return self._waiter is not None and not self._waiter.done()
 
-    @property
-    def has_queued_requests(self) -> bool:
-        """Return whether further requests were read behind the current one."""
-        return bool(self._messages)
-
     def close_if_idle(self) -> None:
         """Close the connection unless a request, or part of one, was read."""
         if self._is_waiting and not self._has_partial_head:
@@ -75,3 +70,9 @@
         if self.transport is not None:
             self.transport.write(NOT_READ)
         self.force_close()
+
+
+def has_queued_requests(request: web.BaseRequest) -> bool:
+    """Return whether the caller has sent further requests behind this one."""
+    connection = request.protocol
+    return connection is not None and bool(connection._messages)
--- a/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
+++ b/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
@@ -42,6 +42,7 @@
     name_hash,
 )
 from daisylift_node.process.open_ports import PortOpener
+from daisylift_node.process.poison_copies import POISON_KIND, PoisonCopies
 from daisylift_node.process.poison_requests import PoisonRequestRegister
 from daisylift_node.version.documents import (
     DocumentChange,
@@ -60,6 +61,7 @@
 ROLE_SECONDS = 0.2  # for which the role of this VM is not looked at again
 FETCH_DELAY_SECONDS = 0.3  # this VM's own watch has usually caught up by then
 FETCH_TIMEOUT_SECONDS = 1.0
+COPY_STOP_SECONDS = 0.05  # a peer whose copy is cut off fetches it from another VM
 MAX_COPY_BYTES = 32 * 1024 * 1024
 COPY_PATH = '/copies/{kind}'
 SINCE_QUERY = 'since'
@@ -83,6 +85,7 @@
             ),
         )
         self._poison_notices = PoisonNoticeQueue()
+        self._poison_copies = PoisonCopies(self.poison_requests)
         self._member = member
         self._view = view
         self._clock = clock
@@ -106,7 +109,9 @@
         self._session = aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=FETCH_TIMEOUT_SECONDS)
         )
-        self._runner = web.ServerRunner(web.Server(self._serve_copy))
+        self._runner = web.ServerRunner(
+            web.Server(self._serve_copy), shutdown_timeout=COPY_STOP_SECONDS
+        )
         await self._runner.setup()
         runner = self._runner
         await ports.open(*address, lambda: web.TCPSite(runner, *address).start())
@@ -115,6 +120,7 @@
         """Cancel fetches and close all sockets."""
         for task in self._fetches.values():
             task.cancel()
+        self._poison_copies.stop()
         if self._transport is not None:
             self._transport.close()
         if self._session is not None:
@@ -152,6 +158,8 @@
         for limit in gossip.limits:
             self._view.apply_limit_notice(limit, now)
         url = f'http://{address[0]}:{address[1]}'
+        if self._session is not None:
+            self._poison_copies.fetch_after_start(self._session, url)
         replicas = list(self._view.replicas_by_kind.values())
         positions = list(
             starmap(Position, zip_longest(gossip.eras, gossip.revisions, fillvalue=0))
@@ -358,6 +366,8 @@
 
     async def _serve_copy(self, request: web.BaseRequest) -> web.Response:
         kind = request.path.rpartition('/')[2]
+        if kind == POISON_KIND:
+            return self._poison_copies.response()
         replica = self._view.replicas_by_kind.get(kind)
         if replica is None or not replica.is_loaded:
             return web.Response(status=404)
