Give up watches that a silent store swallowed within the bounds

Evacuations could come 11 s late, where 5 s are allowed, when their watch alone was lost.

Cause: a call that begins while the store is silent is never answered, and a watch was given up 1.0 s after its wait of 2.5 s (10 s for evacuations).

Watches wait for the stability window less 0.6 s, in fleets where some VMs rely on peers 0.6 s or 1.0 s (over 40 VMs) less, as these hear of changes later. Watches of evacuations wait 4.2 s. Those of members wait 25 s: a VM that joins tells the others itself by gossip, so a lost one costs nothing.

--- a/packages/daisylift-node/src/daisylift_node/platform/store.py
+++ b/packages/daisylift-node/src/daisylift_node/platform/store.py
@@ -1,5 +1,6 @@
 """The HTTP client of the platform's object store."""
 
+import asyncio
 import socket
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
@@ -11,6 +12,7 @@
 from loguru import logger
 from yarl import URL
 
+from daisylift.decisions.watch_margin import WatchMargin
 from daisylift_node.connection.bounded_body import read_body
 from daisylift_node.connection.send_once import SendOnce
 from daisylift_node.connection.sockets import enable_silence_detection
@@ -30,7 +32,6 @@
 OBJECTS_PATH = '/-/objects'
 ERA_HEADER = 'Store-Era'
 CALL_TIMEOUT_SECONDS = 1.5  # a call takes a few milliseconds under normal load
-WATCH_MARGIN_SECONDS = 1.0  # added to the time for which the store holds a watch
 SILENCE_TIMEOUT_MS = 2000  # unacknowledged data closes the connection after this time
 MAX_PAGES = 1000
 MS_PER_SECOND = 1000
@@ -65,6 +66,7 @@
         self._base = url.rstrip('/') + OBJECTS_PATH
         self._timeout_seconds = timeout_seconds
         self._session: aiohttp.ClientSession | None = None
+        self._watch_margin = WatchMargin()
 
     async def start(self) -> None:
         """Open the session; connections are opened by the first calls."""
@@ -125,15 +127,24 @@
 
         Raise HistoryGoneError if the store no longer has the changes since then.
         """
-        response = await self._call(
-            'GET',
-            f'/{kind}',
-            query={
-                'watch': str(revision),
-                'wait_ms': str(int(wait_seconds * MS_PER_SECOND)),
-            },
-            timeout_seconds=wait_seconds + WATCH_MARGIN_SECONDS,
-        )
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + wait_seconds
+        try:
+            response = await self._call(
+                'GET',
+                f'/{kind}',
+                query={
+                    'watch': str(revision),
+                    'wait_ms': str(int(wait_seconds * MS_PER_SECOND)),
+                },
+                timeout_seconds=wait_seconds + self._watch_margin.seconds,
+            )
+        except StoreError as error:
+            if isinstance(error.__cause__, TimeoutError):
+                self._watch_margin.record_timeout()
+            raise
+        if loop.time() >= ends_at:
+            self._watch_margin.record_answer(loop.time() - ends_at)
         events = map(_change, _field(response.content, 'events', list))
         return DocumentChanges(
             revision=_field(response.content, 'at', int),
--- a/packages/daisylift-node/src/daisylift_node/process/entry_application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_application.py
@@ -63,7 +63,8 @@
 STOP_POLL_SECONDS = 0.02
 SIDE_STOP_SECONDS = 0.05  # short, as responses come from memory
 MS_PER_SECOND = 1000.0
-LIST_MARGIN_SECONDS = 0.5  # time for the list after a watch without events
+# Until a watch without an answer is given up, and the next one is answered.
+LIST_MARGIN_SECONDS = 0.6
 MIN_WATCH_SECONDS = 0.5
 REWRITE_HEARTBEATS = 4
 
@@ -72,8 +73,8 @@
     """Return for how many seconds the store may hold a watch open.
 
     A watch can stop delivering events without an error while the store discards its
-    history. A VM counts as in contact with the store again after one stability window,
-    and must have received all changes by then.
+    history, or be lost while the store is silent. A VM counts as in contact with the
+    store again after one stability window, and must have received all changes by then.
     """
     return max(MIN_WATCH_SECONDS, stability_seconds - LIST_MARGIN_SECONDS)
 
--- a/packages/daisylift-node/src/daisylift_node/version/fleet_view.py
+++ b/packages/daisylift-node/src/daisylift_node/version/fleet_view.py
@@ -8,6 +8,7 @@
 
 from daisylift.decisions.availability import Availability, AvailabilityRegister
 from daisylift.decisions.cold_start import ColdStartLimiter
+from daisylift.decisions.fleet_roles import ALL_WATCH_MAX_VMS, SMALL_FLEET_MAX_VMS
 from daisylift.decisions.limit_notices import LimitNotice, LimitNotices
 from daisylift.decisions.limit_shares import LimitShares
 from daisylift.decisions.placement import ServicePlacer
@@ -35,8 +36,13 @@
     Replica,
 )
 
-# Long, because the shorter watch of another kind already detects an unresponsive store.
-LONG_WATCH_SECONDS = 10.0
+# Evacuations are in force 5 s after they were confirmed, also if this watch is lost.
+EVACUATION_WATCH_SECONDS = 4.2
+# Long, as a VM that joins tells the others by gossip; the store allows 30 s.
+MEMBER_WATCH_SECONDS = 25.0
+# Until peers have what this VM has, where some of them do not watch the store.
+SMALL_FLEET_LEAD_SECONDS = 0.6
+LARGE_FLEET_LEAD_SECONDS = 1.0
 # A lapsed registration that is renewed at all is renewed within 2 s.
 LAPSE_GRACE_SECONDS = 1.8
 # After a return of the store from an older copy: servers without a heartbeat have left
@@ -116,13 +122,13 @@
         self.evacuations = self._make_replica(
             codec.evacuation_kind,
             self._evacuations_changed,
-            LONG_WATCH_SECONDS,
+            EVACUATION_WATCH_SECONDS,
             is_store_reachable=self._is_config_connected,
         )
         self.members = self._make_replica(
             codec.member_kind,
             self._members_changed,
-            LONG_WATCH_SECONDS,
+            MEMBER_WATCH_SECONDS,
             is_store_reachable=self._is_config_connected,
         )
 
@@ -314,8 +320,17 @@
             lambda: self.watches_store(),
             is_store_reachable,
             self._retry_others,
+            self._lead_seconds,
         )
 
+    def _lead_seconds(self) -> float:
+        size = len(self.members_by_name)
+        if size <= ALL_WATCH_MAX_VMS:
+            return 0.0
+        if size <= SMALL_FLEET_MAX_VMS:
+            return SMALL_FLEET_LEAD_SECONDS
+        return LARGE_FLEET_LEAD_SECONDS
+
     def _is_config_connected(self) -> bool:
         return self.config.is_connected
 
--- a/packages/daisylift-node/src/daisylift_node/version/replica.py
+++ b/packages/daisylift-node/src/daisylift_node/version/replica.py
@@ -34,7 +34,8 @@
 MAX_RECENT_CHANGES = 1000  # kept to send peers changes instead of a full listing
 REFRESH_PAUSE_SECONDS = 0.5  # between refreshes, so that kinds don't refresh in a loop
 # A watch can stop delivering changes without an error; this bounds how long that lasts.
-DEFAULT_WATCH_SECONDS = 2.5
+DEFAULT_WATCH_SECONDS = 2.4
+MIN_WATCH_SECONDS = 0.5
 # Length of a watch after a failure or a time without calls; short, so that the answer
 # soon shows that the store serves this VM.
 PROBE_WATCH_SECONDS = 0.3
@@ -55,6 +56,8 @@
     and with none at the first listing of an era in which nothing did.
     If ``is_store_reachable`` is given, another kind probes the store while it is
     unreachable; the function returns whether the store responds to that kind.
+    ``lead_seconds`` returns by how much the watches are shortened, because peers hear
+    of changes from this VM.
     """
 
     def __init__(
@@ -67,6 +70,7 @@
         watches_store: Callable[[], bool] = lambda: True,
         is_store_reachable: Callable[[], bool] | None = None,
         on_reconnect: Callable[[str], None] = lambda kind: None,
+        lead_seconds: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self.kind = kind
         self.documents_by_name: dict[str, StoredDocument] = {}
@@ -81,6 +85,7 @@
         self._watches_store = watches_store
         self._is_store_reachable = is_store_reachable
         self._on_reconnect = on_reconnect
+        self._lead_seconds = lead_seconds
         self._age = CopyAge()
         self._is_following = False
         self._retry_now = asyncio.Event()
@@ -327,7 +332,7 @@
 
     async def _watch_once(self) -> None:
         since = self.position
-        seconds = self._watch_seconds if self._is_following else PROBE_WATCH_SECONDS
+        seconds = self._next_watch_seconds()
         call = self._store.watch(self.kind, since.revision, seconds)
         self._watch = asyncio.ensure_future(call)
         try:
@@ -344,6 +349,13 @@
         if is_applied and batch.changes:
             await asyncio.sleep(BATCH_DELAY_SECONDS)
 
+    def _next_watch_seconds(self) -> float:
+        if not self._is_following:
+            return PROBE_WATCH_SECONDS
+        if lead_seconds := self._lead_seconds():
+            return max(MIN_WATCH_SECONDS, self._watch_seconds - lead_seconds)
+        return self._watch_seconds
+
     def _record_answer(self) -> None:
         """Record that the store has just answered and the copy is complete."""
         self._record_connection(True, '')
