--- a/packages/daisylift-node/src/daisylift_node/version/replica.py
+++ b/packages/daisylift-node/src/daisylift_node/version/replica.py
@@ -277,10 +277,10 @@
             or batch.position < self.position
         ):
             return False
-        names = []
+        names: dict[str, None] = {}  # an object may have changed more than once
         for change in batch.changes:
             name = change.document.name
-            names.append(name)
+            names[name] = None
             self._recent_changes.append((batch.revision, change))
             if change.deleted:
                 self.documents_by_name.pop(name, None)
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -157,6 +157,18 @@
         assert followed.changed_names.count('i-2') == 2
 
 
+async def test_object_that_changed_twice_in_a_batch_is_reported_once(
+    store: MemoryStore,
+) -> None:
+    """Else a desired state seems to be followed by one that is not newer."""
+    async with Followed(store) as followed:
+        await asyncio.sleep(0.02)
+        store.write('main', 'version 1')
+        store.write('main', 'version 2')
+        await asyncio.sleep(0.02)
+        assert followed.changed_names == ['main']
+
+
 async def test_lost_history_leads_to_a_new_listing_and_is_reported(
     store: MemoryStore,
 ) -> None:
