Lose the watching VMs just before changes in the soak

In fleets of seven VMs and more, the first VM of each failure domain is killed or frozen 0.2 s before a desired state, a drain or an evacuation, every four to seven seconds of the second half. The changes of other seeds stay as they are (smaller fleets, sequences of their own).

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -21,6 +21,7 @@
     make_plan,
     make_return_plan,
     make_statement_plan,
+    make_watchers_plan,
 )
 
 FLAGS = flags.FLAGS
@@ -40,6 +41,7 @@
             fleet.spawn(caller_group.call(domains[number % len(domains)]))
         plan = make_plan(seed, seconds) + make_limit_plan(seed, seconds)
         plan += make_return_plan(seed, seconds) + make_statement_plan(seed, seconds)
+        plan += make_watchers_plan(seed, seconds, vms)
         await _inject_faults(fleet, sorted(plan, key=lambda each: each.at), seconds)
         caller_group.is_stopping = True
         fleet.read_logs()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -61,6 +61,9 @@
     if family == 'says':
         await _say_in_answers(fleet, fault, effect)
         return
+    if family == 'watchers':
+        await _lose_watchers(fleet, fault, effect)
+        return
     if family == 'server':
         await _inject_server_fault(fleet, fault, effect)
         return
@@ -142,6 +145,18 @@
     fleet.name_limit(server, None)
 
 
+async def _lose_watchers(fleet: Fleet, fault: Fault, way: str) -> None:
+    """Kill or freeze the first VM of each failure domain, without a word."""
+    await asyncio.gather(
+        *(
+            fleet.kill_vm(vm)
+            if way == 'kill'
+            else fleet.pause_vm(vm, fault.duration_seconds)
+            for vm in fleet.first_of_each_domain()
+        )
+    )
+
+
 async def _say_in_answers(fleet: Fleet, fault: Fault, statement: str) -> None:
     """Let a server say that it leaves, or turn requests away and ask for a pause."""
     server = _pick(_serving(fleet), fault.target_fraction)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -134,6 +134,16 @@
             await link.stop()
         await self.store.stop()
 
+    def first_of_each_domain(self) -> list[EntryVm]:
+        """Return the first VM of each failure domain by name.
+
+        In fleets of more than ten VMs, these watch the store for the others.
+        """
+        by_domain: dict[str, EntryVm] = {}
+        for vm in sorted(self.vms, key=lambda each: each.name):
+            by_domain.setdefault(vm.failure_domain, vm)
+        return list(by_domain.values())
+
     def record_arrivals(self) -> None:
         """Record which requests reached each server, for the checks."""
         for server in self.servers_by_id.values():
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -28,6 +28,11 @@
 STATEMENT_KINDS = ('says_leaving', 'says_paused')
 MAX_STATEMENT_SECONDS = 3.0  # of a pause
 MAX_STATEMENT_GAP_SECONDS = 4.0
+WATCHERS_KINDS = ('watchers_kill', 'watchers_pause')
+WATCHED_CHANGE_KINDS = ('configure', 'drain', 'evacuate')
+WATCHERS_LEAD_SECONDS = 0.2  # from the loss of the VMs that watch to the change
+MIN_WATCHERS_VMS = 7  # fewer VMs would all be lost at once
+MAX_WATCHERS_GAP_SECONDS = 7.0
 ADD_VM_KIND = 'add_vm'
 RETURN_KIND = 'store_return'
 MAX_RETURNS = 2
@@ -125,3 +130,22 @@
         changed_at = at + away_seconds + rng.uniform(0.0, MAX_GAP_SECONDS)
         faults.append(Fault('configure', changed_at, 0.0, 0.0))
     return faults
+
+
+def make_watchers_plan(seed: int, seconds: float, vms: int) -> list[Fault]:
+    """Return losses of the VMs that watch the store, each just before a change.
+
+    They are drawn apart from the other faults, which so stay the same for a seed, and
+    strike in the second half of the run, in fleets of MIN_WATCHERS_VMS or more.
+    """
+    rng = random.Random(f'watchers/{seed}')
+    end = seconds - FINAL_CALM_SECONDS - MAX_DURATION_SECONDS
+    faults: list[Fault] = []
+    at = PLANNED_SHARE * seconds + rng.uniform(0.0, MAX_GAP_SECONDS)
+    while vms >= MIN_WATCHERS_VMS and at < end:
+        duration = rng.uniform(MIN_DURATION_SECONDS, MAX_DURATION_SECONDS)
+        faults.append(Fault(rng.choice(WATCHERS_KINDS), at, duration, 0.0))
+        kind, changed_at = rng.choice(WATCHED_CHANGE_KINDS), at + WATCHERS_LEAD_SECONDS
+        faults.append(Fault(kind, changed_at, duration, rng.random()))
+        at += rng.uniform(MAX_DURATION_SECONDS, MAX_WATCHERS_GAP_SECONDS)
+    return faults
--- a/tests/test_watchers_lost.py
+++ b/tests/test_watchers_lost.py
@@ -46,13 +46,6 @@
     fleet.store.write('config', 'main', make_desired_state(version, *rules))
 
 
-def first_of_each_domain(vms: list[EntryVm]) -> list[EntryVm]:
-    by_domain: dict[str, EntryVm] = {}
-    for vm in sorted(vms, key=lambda each: each.name):
-        by_domain.setdefault(vm.failure_domain, vm)
-    return list(by_domain.values())
-
-
 class Prober:
     """Sends requests to each VM and notes what no longer should have happened."""
 
@@ -115,7 +108,7 @@
     try:
         await fleet.start(writes_desired_state=False)
         await asyncio.sleep(SETTLE_SECONDS)
-        lost = first_of_each_domain(fleet.vms)
+        lost = fleet.first_of_each_domain()
         prober = Prober(fleet)
         async with aiohttp.ClientSession() as session:
             probes = [
