Let only VMs that stop hand over their watch

With roles by readiness, each VM of a starting fleet took itself for the first ready one until it heard that the others were ready too, and watched all kinds meanwhile.

--- a/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
+++ b/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
@@ -224,7 +224,8 @@
     def watches_store(self) -> bool:
         """Return whether this VM should keep a watch on the store itself.
 
-        A VM that stops is not ready: it watches until it ends, beside the next one.
+        A VM that stops is no candidate for others: the next one takes over while it
+        still watches.
         """
         now = self._clock()
         if self._is_watching is not None and now - self._role_at < ROLE_SECONDS:
@@ -232,21 +233,23 @@
         self._role_at = now
         members = self._view.members_by_name.values()
         domain = self._member.failure_domain
-        ready = {
+        candidates = {
             each.name
             for each in members
-            if each.failure_domain == domain and self.liveness.is_ready(each.name, now)
+            if each.failure_domain == domain
+            and self.liveness.is_alive(each.name, now)
+            and not self.liveness.is_stopping(each.name)
         }
-        is_watching = watches_store(self._member, members, ready)
-        self._record_role(is_watching, len(ready))
+        is_watching = watches_store(self._member, members, candidates)
+        self._record_role(is_watching, len(candidates))
         return is_watching
 
-    def _record_role(self, is_watching: bool, ready_count: int) -> None:
+    def _record_role(self, is_watching: bool, candidate_count: int) -> None:
         if is_watching == self._is_watching:
             return
         self._is_watching = is_watching
         members = len(self._view.members_by_name)
-        logger.bind(ready_in_domain=ready_count, members=members).info(
+        logger.bind(candidates=candidate_count, members=members).info(
             'watching the store for changes'
             if is_watching
             else 'relying on peers for changes of the store'
--- a/packages/daisylift/src/daisylift/decisions/fleet_roles.py
+++ b/packages/daisylift/src/daisylift/decisions/fleet_roles.py
@@ -4,7 +4,7 @@
 than the fleet, and a network budget of a few kilobytes a second for each VM. The cost
 per VM must not grow with the fleet.
 
-In a small fleet every VM watches the store itself. In a larger one the first ready VM
+In a small fleet every VM watches the store itself. In a larger one the first live VM
 of each failure domain does; the others learn of changes from peers, and call the store
 when peers no longer confirm their copies (``copy_age``). If a watcher is lost, updates
 from other failure domains cover for it until the next VM takes its place; one that
@@ -25,18 +25,18 @@
 
 
 def watches_store(
-    own: EntryMember, members: Collection[EntryMember], ready: Collection[str]
+    own: EntryMember, members: Collection[EntryMember], candidates: Collection[str]
 ) -> bool:
     """Return whether this VM should watch the store itself.
 
-    ``ready`` has the names of the VMs that take callers; one that doesn't watches.
+    ``candidates`` has the names of the VMs that may; one that isn't registered watches.
     """
     if len(members) <= ALL_WATCH_MAX_VMS:
         return True
     same_domain = sorted(
         member.name
         for member in members
-        if member.failure_domain == own.failure_domain and member.name in ready
+        if member.failure_domain == own.failure_domain and member.name in candidates
     )
     return own.name in same_domain[:WATCHERS_PER_DOMAIN] or own.name not in same_domain
 
--- a/packages/daisylift/src/daisylift/decisions/liveness.py
+++ b/packages/daisylift/src/daisylift/decisions/liveness.py
@@ -33,6 +33,7 @@
 class _Record:
     heartbeat: Heartbeat
     received_at: float
+    has_been_ready: bool = False  # in this incarnation
 
 
 @dataclass(slots=True)
@@ -60,7 +61,11 @@
             if record is None or _recency_key(heartbeat) > _recency_key(
                 record.heartbeat
             ):
-                self._records_by_name[heartbeat.name] = _Record(heartbeat, now)
+                self._records_by_name[heartbeat.name] = _Record(
+                    heartbeat,
+                    now,
+                    heartbeat.ready or _has_been_ready(record, heartbeat),
+                )
 
     def expect(self, name: str, incarnation: int, now: float) -> None:
         """Give a newly registered VM a grace period for its first heartbeat."""
@@ -80,6 +85,13 @@
         within = within_seconds or self.lost_seconds
         return record is not None and now - record.received_at < within
 
+    def is_stopping(self, name: str) -> bool:
+        """Return whether the VM was ready in this incarnation and no longer is."""
+        record = self._records_by_name.get(name)
+        return (
+            record is not None and record.has_been_ready and not record.heartbeat.ready
+        )
+
     def is_long_lost(self, name: str, now: float) -> bool:
         """Return whether the VM has been silent for too long to be expected back."""
         record = self._records_by_name.get(name)
@@ -119,5 +131,13 @@
         return [self.beat(), *(record.heartbeat for record in live)]
 
 
+def _has_been_ready(record: _Record | None, heartbeat: Heartbeat) -> bool:
+    return (
+        record is not None
+        and record.has_been_ready
+        and record.heartbeat.incarnation == heartbeat.incarnation
+    )
+
+
 def _recency_key(heartbeat: Heartbeat) -> tuple[int, int]:
     return (heartbeat.incarnation, heartbeat.counter)
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -71,6 +71,18 @@
     assert not liveness.is_ready('b1', 0.2)
 
 
+def test_a_vm_that_starts_is_not_taken_for_one_that_stops() -> None:
+    liveness = Liveness('a1', 1)
+    liveness.expect('b1', 5, 0.0)
+    liveness.receive([Heartbeat('b1', 5, 1, ready=False)], 0.1)
+    assert not liveness.is_stopping('b1')
+    liveness.receive([Heartbeat('b1', 5, 2, ready=True)], 0.2)
+    liveness.receive([Heartbeat('b1', 5, 3, ready=False)], 0.3)
+    assert liveness.is_stopping('b1')
+    liveness.receive([Heartbeat('b1', 6, 1, ready=False)], 0.4)
+    assert not liveness.is_stopping('b1')
+
+
 def test_old_heartbeats_change_nothing() -> None:
     liveness = Liveness('a1', 1)
     liveness.receive([Heartbeat('b1', 5, 9, ready=False)], 0.0)
@@ -130,14 +142,13 @@
     """It says that it is no longer ready, and watches on beside the next one."""
     large = [a_member(f'n{number:03}', 'arusha-a', 'arusha') for number in range(100)]
     view = SimpleNamespace(members_by_name={each.name: each for each in large})
-    heartbeats = [
-        Heartbeat(each.name, 1, 1, ready=each.name != 'n000') for each in large
-    ]
+    ready = [Heartbeat(each.name, 1, 1, ready=True) for each in large]
+    stopping = Heartbeat('n000', 1, 2, ready=False)
     watching = set()
     for member in large:
         exchange = PeerExchange(member, view, lambda: 0.0)
         exchange.liveness.ready = member.name != 'n000'
-        exchange.liveness.receive(heartbeats, 0.0)
+        exchange.liveness.receive([*ready, stopping], 0.0)
         if exchange.watches_store():
             watching.add(member.name)
     assert watching == {'n000', 'n001'}
