--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -22,6 +22,7 @@
     make_return_plan,
     make_start_plan,
     make_statement_plan,
+    make_watchers_plan,
 )
 from soak.raw_callers import WHOLE_KINDS, RawCallerGroup
 
@@ -46,6 +47,7 @@
         plan = make_plan(seed, seconds) + make_limit_plan(seed, seconds)
         plan += make_return_plan(seed, seconds) + make_statement_plan(seed, seconds)
         plan += make_start_plan(seed, seconds)
+        plan += make_watchers_plan(seed, seconds, vms)
         await _inject_faults(fleet, sorted(plan, key=lambda each: each.at), seconds)
         caller_group.is_stopping = raw_callers.is_stopping = True
         fleet.read_logs()
