Admit requests of tenants by tokens of their usage caps

The handler asks for a token once the body has been read; a request that ends refused gives its tokens back, a repeat of one that may have run takes another. Over the cap it gets 429 with Retry-After. Questions and replies are datagrams on the peers' port with a version of their own; VMs of older versions refuse them, and count as silent owners. A clock that counts suspension is used.

Before: no request was refused for a cap.

--- a/packages/daisylift-node/src/daisylift_node/entry_config.py
+++ b/packages/daisylift-node/src/daisylift_node/entry_config.py
@@ -112,6 +112,9 @@
     cold_slack: float = Field(default=5.0, ge=0)
     ttl_max_s: float = Field(default=5.0, gt=0)
     max_region_shift: float = Field(default=0.15, gt=0, le=1)
+    quota_window_s: float = Field(default=5.0, gt=0)
+    quota_excess: float = Field(default=0.1, ge=0)
+    quota_slack: float = Field(default=20.0, ge=0)
 
 
 class LogSection(Section):
--- a/packages/daisylift-node/src/daisylift_node/process/entry_application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_application.py
@@ -21,6 +21,7 @@
 from daisylift.decisions.region_shift import RegionShiftLimiter
 from daisylift.decisions.response_memory import ResponseMemory
 from daisylift.decisions.retry_budget import RetryBudget, RetryLimits
+from daisylift.decisions.usage_caps import UsageBounds
 from daisylift.models.desired_state import CallerLimits
 from daisylift.models.registered_server import MAX_INCARNATION, EntryMember
 from daisylift_node.connection.server_pool import ServerPool
@@ -41,6 +42,12 @@
 )
 from daisylift_node.process.supervisor import TaskSupervisor
 from daisylift_node.process.timer import TimerService
+from daisylift_node.process.usage_exchange import (
+    IDLE_PERIOD_SECONDS,
+    MEMBERS_PERIOD_SECONDS,
+    USAGE_PERIOD_SECONDS,
+    UsageExchange,
+)
 from daisylift_node.request.entry_handler import EntryHandler
 from daisylift_node.request.steering import Steering
 from daisylift_node.version.documents import StoreError
@@ -153,6 +160,17 @@
             self._clock,
             BufferedBytes(int(REQUEST_MEMORY_SHARE * memory_bytes)),
         )
+        self.usage = UsageExchange(
+            vm.id,
+            UsageBounds(bounds.quota_window_s, bounds.quota_excess, bounds.quota_slack),
+            self.view,
+            self.peers.send_to,
+            self.peers.is_alive,
+            self.metrics,
+        )
+        self.peers.receive_usage = self.usage.receive
+        self.steering.admit_repeat = self.usage.admit_repeat
+        self.handler.usage = self.usage
         self._caller_server = web.Server(
             self.handler.handle,
             request_factory=self._make_request,
@@ -192,6 +210,9 @@
         self.timer.subscribe(GOSSIP_PERIOD_SECONDS, self._gossip)
         self.timer.subscribe(LIMITS_PERIOD_SECONDS, self.peers.send_limits)
         self.timer.subscribe(WAKE_PERIOD_SECONDS, self._wake)
+        self.timer.subscribe(USAGE_PERIOD_SECONDS, self.usage.expire)
+        self.timer.subscribe(MEMBERS_PERIOD_SECONDS, self.usage.update_members)
+        self.timer.subscribe(IDLE_PERIOD_SECONDS, self.usage.discard_idle)
         self.timer.subscribe(EXPIRE_LAPSED_PERIOD_SECONDS, self.view.expire_lapsed)
         self.timer.subscribe(EXPIRE_HELD_PERIOD_SECONDS, self.view.expire_held)
         self.timer.subscribe(CLOSE_IDLE_PERIOD_SECONDS, self.pool.close_idle)
@@ -381,6 +402,7 @@
             self.metrics.set_replica_revision(kind, replica.revision)
             self.metrics.set_unreadable(kind, self.view.unreadable_count(kind))
         self.metrics.set_store_era(self.store.era)
+        self.metrics.set_usage_tokens(self.usage.most_moved())
         self.metrics.set_excluded_servers(self.view.exclusions())
         for service, queue in self.steering.queues_by_service.items():
             self.metrics.set_waiting(service, len(queue.waiters))
--- a/packages/daisylift-node/src/daisylift_node/process/entry_metrics.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_metrics.py
@@ -89,6 +89,19 @@
             ('service', 'reason'),
             registry=self.registry,
         )
+        self._usage = Counter(
+            'daisylift_usage',
+            'Requests under a usage cap that were admitted or refused, peers asked for '
+            'tokens, and tokens granted to peers.',
+            ('event',),
+            registry=self.registry,
+        )
+        self._usage_tokens = Gauge(
+            'daisylift_usage_tokens',
+            'Tokens granted to peers and borrowed from them, by tenants with most.',
+            ('tenant', 'direction'),
+            registry=self.registry,
+        )
         self._timer_failures = Counter(
             'daisylift_timer_failures',
             'Periodic calls that ended with an unexpected error.',
@@ -134,6 +147,17 @@
         """Count a periodic call that ended with an unexpected error."""
         self._timer_failures.labels(call).inc()
 
+    def count_usage(self, event: str, count: int = 1) -> None:
+        """Count what happened under usage caps."""
+        self._usage.labels(event).inc(count)
+
+    def set_usage_tokens(self, tokens: Mapping[str, tuple[int, int]]) -> None:
+        """Set the tokens granted to peers and borrowed from them, by tenant."""
+        self._usage_tokens.clear()
+        for tenant, (granted, borrowed) in tokens.items():
+            self._usage_tokens.labels(tenant, 'granted').set(granted)
+            self._usage_tokens.labels(tenant, 'borrowed').set(borrowed)
+
     def set_unreadable(self, kind: str, count: int) -> None:
         """Set the number of objects of a kind that cannot be decoded."""
         self._unreadable.labels(kind).set(count)
--- a/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
+++ b/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
@@ -39,6 +39,7 @@
     encode_limits,
     name_hash,
 )
+from daisylift_node.connection.usage_codec import is_usage
 from daisylift_node.process.poison_requests import PoisonRequestRegister
 from daisylift_node.version.documents import (
     DocumentChange,
@@ -89,6 +90,7 @@
         self._fetches: dict[str, asyncio.Task[None]] = {}
         self._names_by_hash: dict[int, str] = {}
         self._members_at: Position | None = None
+        self.receive_usage: Callable[[bytes, tuple[str, int]], None] | None = None
         view.watches_store = self.watches_store
 
     async def start(self) -> None:
@@ -121,6 +123,10 @@
     def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
         """Apply heartbeats and poison notices, and compare revisions."""
         try:
+            if is_usage(data):
+                if self.receive_usage is not None:
+                    self.receive_usage(data, address)
+                return
             self._apply_datagram(data, address)
         except Exception:
             logger.bind(peer=address[0], bytes=len(data)).exception(
@@ -174,6 +180,17 @@
         if notices:
             self._send_to_peers(encode_limits(notices))
 
+    def send_to(self, data: bytes, address: tuple[str, int]) -> None:
+        """Send a datagram to one peer; one that can't be sent is logged."""
+        if self._transport is None:
+            return
+        try:
+            self._transport.sendto(data, address)
+        except (OSError, OverflowError, ValueError) as error:
+            logger.bind(peer=address[0], reason=str(error)).warning(
+                'datagram not sent to a peer'
+            )
+
     def _send_to_peers(self, data: bytes) -> None:
         if self._transport is None:
             return
@@ -190,6 +207,11 @@
         """Return whether the entry VM is alive and accepts callers."""
         return self.liveness.is_ready(name, self._clock(), self._lost_seconds(name))
 
+    def is_alive(self, name: str) -> bool:
+        """Return whether the entry VM seems to be alive."""
+        within = self._lost_seconds(name)
+        return self.liveness.is_alive(name, self._clock(), within)
+
     def watches_store(self) -> bool:
         """Return whether this VM should keep a watch on the store itself."""
         now = self._clock()
--- a/packages/daisylift-node/src/daisylift_node/request/entry_handler.py
+++ b/packages/daisylift-node/src/daisylift_node/request/entry_handler.py
@@ -1,5 +1,6 @@
 """HTTP handler of the entry port: turns callers' requests into calls and responses."""
 
+import asyncio
 import json
 from collections.abc import Callable
 
@@ -18,11 +19,13 @@
 from daisylift_node.request.outcome import Answered, Failed, Outcome, Reason, Refused
 from daisylift_node.request.steered_call import SteeredCall
 from daisylift_node.request.steering import Steering
+from daisylift_node.request.usage_admission import UsageAdmission
 from daisylift_node.version.fleet_view import FleetView
 
 DEFAULT_TIMEOUT_SECONDS = 30.0  # for requests without a time limit
 STATUS_BY_REASON = {
     Reason.NO_ROUTE: 404,
+    Reason.USAGE_CAPPED: 429,
     Reason.BODY_TOO_LARGE: 413,
     Reason.UNREADABLE: 400,
     Reason.TIMED_OUT: 504,
@@ -55,6 +58,7 @@
         self._metrics = metrics
         self._clock = clock
         self._selector = DestinationSelector()
+        self.usage: UsageAdmission | None = None
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle one request of a caller."""
@@ -69,7 +73,7 @@
             result = await self._read_call(request, arrived_at)
             if isinstance(result, SteeredCall):
                 call = result
-                outcome = await self._steer(call)
+                outcome = await self._admit_and_steer(call)
             else:
                 outcome = result
         except web.HTTPRequestEntityTooLarge:
@@ -82,6 +86,23 @@
             response.force_close()
         return response
 
+    async def _admit_and_steer(self, call: SteeredCall) -> Outcome:
+        """Steer the call, if the usage cap of its tenant allows it."""
+        if self.usage is None:
+            return await self._steer(call)
+        retry_after = await self.usage.admit(call)
+        if retry_after is not None:
+            return Refused(Reason.USAGE_CAPPED, retry_after)
+        try:
+            outcome = await self._steer(call)
+        except asyncio.CancelledError:
+            if call.placement is None:
+                self.usage.give_back(call)
+            raise
+        if isinstance(outcome, Refused):
+            self.usage.give_back(call)
+        return outcome
+
     async def _steer(self, call: SteeredCall) -> Outcome:
         """Steer the call; an unexpected error ends this call only, and is logged."""
         try:
@@ -137,6 +158,20 @@
             deadline_at=arrived_at + min(remaining_seconds, route.timeout_seconds),
         )
 
+    def _usage_fields(
+        self, call: SteeredCall | None, outcome: Outcome
+    ) -> dict[str, object]:
+        """Return the cap and this VM's part of it, for a request over the cap."""
+        if call is None or call.tenant is None or self.usage is None:
+            return {}
+        if not isinstance(outcome, Refused) or outcome.reason != Reason.USAGE_CAPPED:
+            return {}
+        return {
+            'tenant': call.tenant.name,
+            'retry_after': round(outcome.retry_after_seconds or 0.0, 4),
+            **self.usage.log_fields(call),
+        }
+
     def _record(
         self,
         request: web.BaseRequest,
@@ -169,7 +204,7 @@
         else:
             line = line.bind(host=request.headers.get('Host', ''))
         if reason:
-            line = line.bind(reason=reason)
+            line = line.bind(reason=reason, **self._usage_fields(call, outcome))
         if isinstance(outcome, Refused) and outcome.waiting is not None:
             line = line.bind(
                 waiting=outcome.waiting,
--- a/packages/daisylift-node/src/daisylift_node/request/outcome.py
+++ b/packages/daisylift-node/src/daisylift_node/request/outcome.py
@@ -11,6 +11,7 @@
 
     NO_DESIRED_STATE = 'no desired state is known yet'
     NO_ROUTE = 'no route matches host and path'
+    USAGE_CAPPED = 'the tenant sends more than its usage cap'
     BODY_TOO_LARGE = 'the body is larger than allowed'
     MEMORY_FULL = 'too many long bodies are held'
     OVERLOADED = 'no slot is free in time'
--- a/packages/daisylift-node/src/daisylift_node/request/steered_call.py
+++ b/packages/daisylift-node/src/daisylift_node/request/steered_call.py
@@ -4,6 +4,7 @@
 
 from daisylift.decisions.placement import Placement
 from daisylift.decisions.poison_requests import Digest
+from daisylift.decisions.usage_grants import UsageTicket
 from daisylift.models.desired_state import Route, Tenant
 from daisylift_node.connection.server_connection import ServerResponse
 from daisylift_node.request.dialect import RawHeaders, ResponseMetadata
@@ -17,6 +18,7 @@
 
     ``digest`` identifies the request across callers and repeats. ``server_limit`` is
     the request rate limit of the server that it was sent to last, per second.
+    ``usage_tickets`` are the tokens that it took of its tenant's usage cap.
     """
 
     request_id: str
@@ -38,6 +40,7 @@
     waited_seconds: float = 0.0
     placement: Placement | None = None
     server_limit: float | None = None
+    usage_tickets: list[UsageTicket] = field(default_factory=list)
 
     @property
     def target_at(self) -> float:
--- a/packages/daisylift-node/src/daisylift_node/request/steering.py
+++ b/packages/daisylift-node/src/daisylift_node/request/steering.py
@@ -85,6 +85,7 @@
         self._clock = clock
         self._estimates = WorkEstimates()
         self.queues_by_service: dict[str, WaitQueue] = {}
+        self.admit_repeat: Callable[[SteeredCall], bool] = lambda call: True
         self._last_pass_at = math.inf
         self._ends_at = math.inf
         view.on_change(self.wake_all)
@@ -423,13 +424,15 @@
         return Failed(Reason.TIMED_OUT if timed_out else Reason.ANSWER_LOST)
 
     def _may_send_again(self, call: SteeredCall) -> bool:
-        """Return whether attempts, time and retry budget allow another send."""
+        """Return whether attempts, time, retry budget and cap allow another send."""
         if call.sends >= call.route.max_servers:
             return False
         now = self._clock()
         if call.deadline_at - now < self._work(call).warm_seconds:
             return False
-        return self._budget.take(call.service, self._view.node_count, now)
+        if not self._budget.take(call.service, self._view.node_count, now):
+            return False
+        return not call.may_have_run or self.admit_repeat(call)
 
     def _release(self, service: str, placement: Placement) -> None:
         placement.stats.record_end()
