Order waiting requests by what their tenants were served

Cause: the wait queue knows priorities and times only, so a tenant that sends many times its usual fills it, and a lower priority is never served in overload.

Within a priority, a tenant that was served more than its part goes after the others, one that floods last of all; the part follows the usage cap, or what it usually sends. The same order decides who may wait and who leaves a full queue.

Requests without tenants are ordered as before.

--- a/packages/daisylift-node/src/daisylift_node/request/steering.py
+++ b/packages/daisylift-node/src/daisylift_node/request/steering.py
@@ -59,6 +59,10 @@
 _PlacementFuture = asyncio.Future[Placement | None]
 
 
+class _EvictedError(Exception):
+    """A request that waited has left a full queue for one that goes before it."""
+
+
 class Steering:
     """Steers requests based on this node's current view of the fleet."""
 
@@ -93,6 +97,10 @@
     async def steer(self, call: SteeredCall) -> Outcome:
         """Send the request, with retries, and return its final outcome."""
         self._budget.record_request(call.service, call.arrived_at)
+        if call.tenant is not None:
+            cap = call.tenant.requests_per_second
+            shares = self._queue(call.service).shares
+            shares.record_request(call.tenant.name, cap, self._clock())
         while True:
             if call.deadline_at - self._clock() < MIN_REMAINING_SECONDS:
                 return _refused_or_failed(call, Reason.TIMED_OUT)
@@ -166,6 +174,8 @@
             else choose(PlacementScope.ANY)
         )
         if placement is not None:
+            if call.tenant is not None:
+                self._queue(call.service).shares.record_start(call.tenant.name, now)
             if can_serve_locally:
                 self._shift_limiter.record_sent(placement.is_other_region, now)
             placement.stats.record_start(call.object_key)
@@ -213,13 +223,15 @@
             if max_per_second is not None:
                 reason = Reason.RATE_LIMITED
             return self._refuse(call, reason, queue, max_per_second)
-        queue.add(waiter)
+        queue.add(waiter, now)
         try:
             async with asyncio.timeout(max(0.0, waiter.latest_start_at - now)):
                 placement = await future
             return placement or self._refuse_unservable(call, queue)
         except TimeoutError:
             return self._refuse(call, Reason.WAITED_IN_VAIN, queue, max_per_second)
+        except _EvictedError:
+            return self._refuse(call, Reason.OVERLOADED, queue, max_per_second)
         except asyncio.CancelledError:
             if future.done() and not future.cancelled() and future.result():
                 self._release(call.service, future.result())
@@ -240,12 +252,18 @@
             future.set_result(placement)
             return True
 
+        def evict() -> None:
+            if not future.done():
+                future.set_exception(_EvictedError)
+
         return Waiter(
             priority=call.priority,
             target_at=call.target_at,
             deadline_at=call.deadline_at,
             work_seconds=self._work(call).warm_seconds,
             wake=wake,
+            tenant=call.tenant.name if call.tenant else None,
+            evict=evict if call.tenant else None,
         )
 
     def _is_unservable(self, call: SteeredCall) -> bool:
@@ -280,7 +298,8 @@
         queue: WaitQueue,
         max_per_second: float | None = None,
     ) -> Outcome:
-        wait = queue.expected_wait(self._clock(), call.priority, max_per_second)
+        tenant = call.tenant.name if call.tenant else None
+        wait = queue.expected_wait(self._clock(), call.priority, max_per_second, tenant)
         outcome = _refused_or_failed(call, reason, wait)
         if isinstance(outcome, Failed):
             return outcome
--- a/packages/daisylift/src/daisylift/decisions/wait_queue.py
+++ b/packages/daisylift/src/daisylift/decisions/wait_queue.py
@@ -6,11 +6,17 @@
 refused at once, with the time at which a slot is expected. The queue is ordered by
 priority. Within a priority, requests that can still meet their latency target go
 first, earliest target first, followed by late requests, earliest deadline first.
+
+Where requests belong to tenants, those of a tenant that was served more than its part
+go after the others of their priority, also when it is decided who may wait, and leave a
+full queue first. A tenant that was served far less often than all goes first.
 """
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from daisylift.decisions.tenant_shares import Standing, TenantShares
+
 MAX_WAITING = 256  # per service and node; only bounds memory
 MIN_RETRY_AFTER_SECONDS = 0.05
 MAX_RETRY_AFTER_SECONDS = 2.0
@@ -25,7 +31,7 @@
     """A waiting request. Times are monotonic clock readings in seconds.
 
     ``target_at`` is the latency target. ``wake`` is called when a slot may be free; it
-    returns whether the request uses it.
+    returns whether the request uses it. ``evict`` ends the wait of a tenant's request.
     """
 
     priority: int
@@ -33,6 +39,8 @@
     deadline_at: float
     work_seconds: float
     wake: Callable[[], bool]
+    tenant: str | None = None
+    evict: Callable[[], None] | None = None
 
     @property
     def latest_start_at(self) -> float:
@@ -51,6 +59,7 @@
     """The queue of one service on this node."""
 
     waiters: list[Waiter] = field(default_factory=list)
+    shares: TenantShares = field(default_factory=TenantShares)
     _departures: list[float] = field(default_factory=list)
 
     def record_departure(self, now: float) -> None:
@@ -60,7 +69,11 @@
             self._discard_old_departures(now)
 
     def expected_wait(
-        self, now: float, priority: int, max_per_second: float | None = None
+        self,
+        now: float,
+        priority: int,
+        max_per_second: float | None = None,
+        tenant: str | None = None,
     ) -> float:
         """Return the expected seconds until one more waiter would get a slot.
 
@@ -68,7 +81,10 @@
         only their slots bound it.
         """
         self._discard_old_departures(now)
-        ahead = sum(each.priority <= priority for each in self.waiters) + 1
+        own = self._rank(priority, tenant, now)
+        ahead = 1 + sum(
+            self._rank(each.priority, each.tenant, now) <= own for each in self.waiters
+        )
         per_second = max(len(self._departures) / RATE_WINDOW_SECONDS, 1.0)
         if max_per_second is not None:
             # Without waiters, departures show the demand and not what servers accept.
@@ -83,13 +99,18 @@
 
         ``max_per_second`` is as in ``expected_wait``.
         """
-        if len(self.waiters) >= MAX_WAITING:
+        if len(self.waiters) >= MAX_WAITING and self._victim(waiter, now) is None:
             return False
-        wait = self.expected_wait(now, waiter.priority, max_per_second)
+        wait = self.expected_wait(now, waiter.priority, max_per_second, waiter.tenant)
         return now + wait <= waiter.latest_start_at
 
-    def add(self, waiter: Waiter) -> None:
-        """Add the waiter to the queue."""
+    def add(self, waiter: Waiter, now: float = 0.0) -> None:
+        """Add the waiter to the queue; one of lower rank leaves a full queue."""
+        if len(self.waiters) >= MAX_WAITING:
+            victim = self._victim(waiter, now)
+            if victim is not None and victim.evict is not None:
+                self.remove(victim)
+                victim.evict()
         self.waiters.append(waiter)
 
     def remove(self, waiter: Waiter) -> None:
@@ -99,12 +120,42 @@
 
     def wake_next(self, now: float) -> None:
         """Wake waiters in order until one uses the free slot."""
-        ordered = sorted(self.waiters, key=lambda each: each.sort_key(now))
+        ordered = sorted(
+            self.waiters,
+            key=lambda each: (
+                self._rank(each.priority, each.tenant, now),
+                each.sort_key(now),
+            ),
+        )
         for waiter in ordered[:MAX_WAKE_ATTEMPTS]:
             if waiter.wake():
                 self.remove(waiter)
                 return
 
+    def _rank(
+        self, priority: int, tenant: str | None, now: float
+    ) -> tuple[bool, int, Standing]:
+        """Return what orders requests before their times do; the smallest is first."""
+        standing = self.shares.standing(tenant, now)
+        is_starved = standing is Standing.STARVED
+        return (not is_starved, priority, max(standing, Standing.WITHIN))
+
+    def _victim(self, waiter: Waiter, now: float) -> Waiter | None:
+        """Return the waiter that leaves a full queue for this one, None if none does.
+
+        Only requests of tenants leave, and only for one of a tenant.
+        """
+        if waiter.tenant is None:
+            return None
+        rank = self._rank(waiter.priority, waiter.tenant, now)
+        worse = [
+            (each_rank, each.sort_key(now), index)
+            for index, each in enumerate(self.waiters)
+            if each.evict is not None
+            and (each_rank := self._rank(each.priority, each.tenant, now)) > rank
+        ]
+        return self.waiters[max(worse)[2]] if worse else None
+
     def _discard_old_departures(self, now: float) -> None:
         start = now - RATE_WINDOW_SECONDS
         self._departures = [each for each in self._departures if each >= start]
