--- a/packages/daisylift-node/src/daisylift_node/connection/pipelined_connection.py
+++ b/packages/daisylift-node/src/daisylift_node/connection/pipelined_connection.py
@@ -20,7 +20,10 @@
     QueuedRequest,
     count_startable,
 )
-from daisylift_node.connection.entry_connection import EntryConnection
+from daisylift_node.connection.entry_connection import (
+    EntryConnection,
+    has_queued_requests,
+)
 
 WRITE_STALL_SECONDS = 10.0  # then a caller that takes no byte of a response is cut off
 
@@ -133,7 +136,7 @@
                 response = await early.task
             finally:
                 early.release()
-        if self._handler.is_stopping and not self.has_queued_requests:
+        if self._handler.is_stopping and not has_queued_requests(request):
             response.force_close()
         return response
 
--- a/packages/daisylift-node/src/daisylift_node/request/entry_handler.py
+++ b/packages/daisylift-node/src/daisylift_node/request/entry_handler.py
@@ -28,6 +28,7 @@
 from daisylift_node.request.outcome import Answered, Failed, Outcome, Reason, Refused
 from daisylift_node.request.steered_call import SteeredCall
 from daisylift_node.request.steering import Steering
+from daisylift_node.request.usage_admission import UsageAdmission
 from daisylift_node.request.wait_limits import WaitLimits
 from daisylift_node.version.fleet_view import FleetView
 
@@ -38,6 +39,7 @@
     Reason.KEY_MALFORMED: 401,
     Reason.KEY_UNKNOWN: 401,
     Reason.KEY_REVOKED: 401,
+    Reason.USAGE_CAPPED: 429,
     Reason.BODY_TOO_LARGE: 413,
     Reason.UNREADABLE: 400,
     Reason.TIMED_OUT: 504,
@@ -80,6 +82,7 @@
         self._clock = clock
         self._selector = DestinationSelector()
         self.tenant_stats = TenantStats()
+        self.usage: UsageAdmission | None = None
 
     @property
     def is_stopping(self) -> bool:
@@ -114,7 +117,7 @@
             result = await self._read_call(request, arrived_at)
             if isinstance(result, SteeredCall):
                 call = result
-                outcome = await self._steer(call)
+                outcome = await self._admit_and_steer(call)
             else:
                 outcome = result
         except web.HTTPRequestEntityTooLarge:
@@ -127,6 +130,23 @@
         self._record(request, call, outcome, self._clock() - arrived_at)
         return _response(outcome)
 
+    async def _admit_and_steer(self, call: SteeredCall) -> Outcome:
+        """Steer the call, if the usage cap of its tenant allows it."""
+        if self.usage is None:
+            return await self._steer(call)
+        retry_after = await self.usage.admit(call)
+        if retry_after is not None:
+            return Refused(Reason.USAGE_CAPPED, retry_after)
+        try:
+            outcome = await self._steer(call)
+        except asyncio.CancelledError:
+            if call.placement is None:
+                self.usage.give_back(call)
+            raise
+        if isinstance(outcome, Refused):
+            self.usage.give_back(call)
+        return outcome
+
     async def _steer(self, call: SteeredCall) -> Outcome:
         """Steer the call; an unexpected error ends this call only, and is logged."""
         try:
@@ -218,6 +238,20 @@
             return {}
         return _credential_fields(self._dialect.read_credential(request.headers))
 
+    def _usage_fields(
+        self, call: SteeredCall | None, outcome: Outcome
+    ) -> dict[str, object]:
+        """Return the cap and this VM's part of it, for a request over the cap."""
+        if call is None or call.tenant is None or self.usage is None:
+            return {}
+        if not isinstance(outcome, Refused) or outcome.reason != Reason.USAGE_CAPPED:
+            return {}
+        return {
+            'tenant': call.tenant.name,
+            'retry_after': round(outcome.retry_after_seconds or 0.0, 4),
+            **self.usage.log_fields(call),
+        }
+
     def _record(
         self,
         request: web.BaseRequest,
@@ -256,7 +290,7 @@
                 host=request.headers.get('Host', ''), **self._key_fields(request)
             )
         if reason:
-            line = line.bind(reason=reason)
+            line = line.bind(reason=reason, **self._usage_fields(call, outcome))
         if isinstance(outcome, Refused) and outcome.waiting is not None:
             line = line.bind(
                 waiting=outcome.waiting,
--- a/packages/daisylift-node/src/daisylift_node/request/outcome.py
+++ b/packages/daisylift-node/src/daisylift_node/request/outcome.py
@@ -15,6 +15,7 @@
     KEY_MALFORMED = 'the key can not be read'
     KEY_UNKNOWN = 'no tenant holds the key'
     KEY_REVOKED = 'no tenant holds the key any more'
+    USAGE_CAPPED = 'the tenant sends more than its usage cap'
     BODY_TOO_LARGE = 'the body is larger than allowed'
     MEMORY_FULL = 'too many long bodies are held'
     OVERLOADED = 'no slot is free in time'
--- a/packages/daisylift-node/src/daisylift_node/request/steering.py
+++ b/packages/daisylift-node/src/daisylift_node/request/steering.py
@@ -61,6 +61,10 @@
 _PlacementFuture = asyncio.Future[Placement | None]
 
 
+class _EvictedError(Exception):
+    """A request that waited has left a full queue for one that goes before it."""
+
+
 class Steering:
     """Steers requests based on this node's current view of the fleet."""
 
@@ -87,6 +91,7 @@
         self._clock = clock
         self._estimates = WorkEstimates()
         self.queues_by_service: dict[str, WaitQueue] = {}
+        self.admit_repeat: Callable[[SteeredCall], bool] = lambda call: True
         self._limits = WaitLimits()
         self._waiting_calls: dict[_PlacementFuture, SteeredCall] = {}
         self._applied_keys = view.tenant_keys
@@ -95,15 +100,13 @@
     async def steer(self, call: SteeredCall) -> Outcome:
         """Send the request, with retries, and return its final outcome."""
         self._budget.record_request(call.service, call.arrived_at)
+        if call.tenant is not None:
+            cap = call.tenant.requests_per_second
+            shares = self._queue(call.service).shares
+            shares.record_request(call.tenant.name, cap, self._clock())
         while True:
-            if call.deadline_at - self._clock() < MIN_REMAINING_SECONDS:
-                return _refused_or_failed(call, Reason.TIMED_OUT)
-            if self._would_be_cut_off(call):
-                return _refused_or_failed(call, Reason.STOPPING, 0.0)
-            if self._poison_requests.is_blocked(call.digest):
-                return _refused_or_failed(call, Reason.BREAKS_SERVERS)
-            if not self._authenticate(call):
-                return _refused_or_failed(call, Reason.KEY_REVOKED)
+            if (ended := self._end_before_placement(call)) is not None:
+                return ended
             placement = await self._place_or_wait(call)
             if not isinstance(placement, Placement):
                 return placement
@@ -120,6 +123,18 @@
                 return outcome
             self._metrics.count_retry(call.service, result.reason)
 
+    def _end_before_placement(self, call: SteeredCall) -> Outcome | None:
+        """Return the outcome of a request that must not be sent now, else None."""
+        if call.deadline_at - self._clock() < MIN_REMAINING_SECONDS:
+            return _refused_or_failed(call, Reason.TIMED_OUT)
+        if self._would_be_cut_off(call):
+            return _refused_or_failed(call, Reason.STOPPING, 0.0)
+        if self._poison_requests.is_blocked(call.digest):
+            return _refused_or_failed(call, Reason.BREAKS_SERVERS)
+        if not self._authenticate(call):
+            return _refused_or_failed(call, Reason.KEY_REVOKED)
+        return None
+
     def begin_stop(self, plan: EntryStopPlan) -> None:
         """Pass on no request that the end of the process might cut off."""
         self._limits.begin_stop(plan)
@@ -193,6 +208,8 @@
             else choose(PlacementScope.ANY)
         )
         if placement is not None:
+            if call.tenant is not None:
+                self._queue(call.service).shares.record_start(call.tenant.name, now)
             if can_serve_locally:
                 self._shift_limiter.record_sent(placement.is_other_region, now)
             placement.stats.record_start(call.object_key)
@@ -240,29 +257,38 @@
             if max_per_second is not None:
                 reason = Reason.RATE_LIMITED
             return self._refuse(call, reason, queue, max_per_second)
-        queue.add(waiter)
+        queue.add(waiter, now)
         self._waiting_calls[future] = call
         try:
             async with self._limits.limit(waiter.latest_start_at, call.deadline_at):
                 placement = await future
-            if placement is not None:
-                return placement
-            if not self._authenticate(call):
-                return _refused_or_failed(call, Reason.KEY_REVOKED)
-            return self._refuse_unservable(call, queue)
+            return placement or self._end_wait_unserved(call, queue)
         except TimeoutError:
             if self._would_be_cut_off(call):
                 return _refused_or_failed(call, Reason.STOPPING, 0.0)
             return self._refuse(call, Reason.WAITED_IN_VAIN, queue, max_per_second)
+        except _EvictedError:
+            return self._refuse(call, Reason.OVERLOADED, queue, max_per_second)
         except asyncio.CancelledError:
-            if future.done() and not future.cancelled() and future.result():
-                self._release(call.service, future.result())
+            self._release_unused(call, future)
             raise
         finally:
             queue.remove(waiter)
             del self._waiting_calls[future]
             call.waited_seconds += self._clock() - now
 
+    def _end_wait_unserved(self, call: SteeredCall, queue: WaitQueue) -> Outcome:
+        if not self._authenticate(call):
+            return _refused_or_failed(call, Reason.KEY_REVOKED)
+        return self._refuse_unservable(call, queue)
+
+    def _release_unused(self, call: SteeredCall, future: _PlacementFuture) -> None:
+        """Release the slot that a request got when its wait had just ended."""
+        if not future.done() or future.cancelled() or future.exception() is not None:
+            return
+        if (placement := future.result()) is not None:
+            self._release(call.service, placement)
+
     def _make_waiter(self, call: SteeredCall, future: _PlacementFuture) -> Waiter:
         """Return a waiter that ends with a placement, or None if there is none now."""
 
@@ -275,12 +301,18 @@
             future.set_result(placement)
             return True
 
+        def evict() -> None:
+            if not future.done():
+                future.set_exception(_EvictedError)
+
         return Waiter(
             priority=call.priority,
             target_at=call.target_at,
             deadline_at=call.deadline_at,
             work_seconds=self._work(call).warm_seconds,
             wake=wake,
+            tenant=call.tenant.name if call.tenant else None,
+            evict=evict if call.tenant else None,
         )
 
     def _is_unservable(self, call: SteeredCall) -> bool:
@@ -315,7 +347,8 @@
         queue: WaitQueue,
         max_per_second: float | None = None,
     ) -> Outcome:
-        wait = queue.expected_wait(self._clock(), call.priority, max_per_second)
+        tenant = call.tenant.name if call.tenant else None
+        wait = queue.expected_wait(self._clock(), call.priority, max_per_second, tenant)
         outcome = _refused_or_failed(call, reason, wait)
         if isinstance(outcome, Failed):
             return outcome
@@ -473,13 +506,15 @@
         return Failed(Reason.TIMED_OUT if timed_out else Reason.ANSWER_LOST)
 
     def _may_send_again(self, call: SteeredCall) -> bool:
-        """Return whether attempts, time and retry budget allow another send."""
+        """Return whether attempts, time, retry budget and cap allow another send."""
         if call.sends >= call.route.max_servers:
             return False
         now = self._clock()
         if call.deadline_at - now < self._work(call).warm_seconds:
             return False
-        return self._budget.take(call.service, self._view.node_count, now)
+        if not self._budget.take(call.service, self._view.node_count, now):
+            return False
+        return not call.may_have_run or self.admit_repeat(call)
 
     def _release(self, service: str, placement: Placement) -> None:
         placement.stats.record_end()
