Give back a slot that a request gets in the moment its wait times out

What callers saw: nothing at once. A server that had served a request in the very turn in which a waiting one timed out counted one request more at this VM for the rest of its life; a few such turns under load, and the VM holds a free server for full and refuses.

Cause: the wait is ended by cancellation, which asyncio.timeout turns into TimeoutError. The slot was given back on CancelledError only.

The class, a result that is lost beside a cancellation, was looked for at the other places that await a future with a time limit: the token wait of usage caps and the body's time limit hold nothing that has to be given back.

--- a/packages/daisylift-node/src/daisylift_node/request/steering.py
+++ b/packages/daisylift-node/src/daisylift_node/request/steering.py
@@ -264,6 +264,7 @@
                 placement = await future
             return placement or self._end_wait_unserved(call, queue)
         except TimeoutError:
+            self._release_unused(call, future)
             if self._would_be_cut_off(call):
                 return _refused_or_failed(call, Reason.STOPPING, 0.0)
             return self._refuse(call, Reason.WAITED_IN_VAIN, queue, max_per_second)
