--- a/packages/daisylift-node/src/daisylift_node/request/steering.py
+++ b/packages/daisylift-node/src/daisylift_node/request/steering.py
@@ -96,11 +96,7 @@
 
     async def steer(self, call: SteeredCall) -> Outcome:
         """Send the request, with retries, and return its final outcome."""
-        self._budget.record_request(call.service, call.arrived_at)
-        if call.tenant is not None:
-            cap = call.tenant.requests_per_second
-            shares = self._queue(call.service).shares
-            shares.record_request(call.tenant.name, cap, self._clock())
+        self._record_request(call)
         while True:
             if call.deadline_at - self._clock() < MIN_REMAINING_SECONDS:
                 return _refused_or_failed(call, Reason.TIMED_OUT)
@@ -124,6 +120,13 @@
                 return outcome
             self._metrics.count_retry(call.service, result.reason)
 
+    def _record_request(self, call: SteeredCall) -> None:
+        self._budget.record_request(call.service, call.arrived_at)
+        if call.tenant is not None:
+            cap = call.tenant.requests_per_second
+            shares = self._queue(call.service).shares
+            shares.record_request(call.tenant.name, cap, self._clock())
+
     def stop(self, last_pass_at: float, ends_at: float) -> None:
         """Pass on no request that the end of the process might cut off.
 
