--- a/packages/daisylift-node/src/daisylift_node/request/steering.py
+++ b/packages/daisylift-node/src/daisylift_node/request/steering.py
@@ -99,11 +99,7 @@
 
     async def steer(self, call: SteeredCall) -> Outcome:
         """Send the request, with retries, and return its final outcome."""
-        self._budget.record_request(call.service, call.arrived_at)
-        if call.tenant is not None:
-            cap = call.tenant.requests_per_second
-            shares = self._queue(call.service).shares
-            shares.record_request(call.tenant.name, cap, self._clock())
+        self._record_request(call)
         while True:
             if (ended := self._end_before_placement(call)) is not None:
                 return ended
@@ -123,6 +119,13 @@
                 return outcome
             self._metrics.count_retry(call.service, result.reason)
 
+    def _record_request(self, call: SteeredCall) -> None:
+        self._budget.record_request(call.service, call.arrived_at)
+        if call.tenant is not None:
+            cap = call.tenant.requests_per_second
+            shares = self._queue(call.service).shares
+            shares.record_request(call.tenant.name, cap, self._clock())
+
     def _end_before_placement(self, call: SteeredCall) -> Outcome | None:
         """Return the outcome of a request that must not be sent now, else None."""
         if call.deadline_at - self._clock() < MIN_REMAINING_SECONDS:
