--- a/packages/daisylift/src/daisylift/decisions/availability.py
+++ b/packages/daisylift/src/daisylift/decisions/availability.py
@@ -56,7 +56,7 @@
         ``spread`` is a random number from 0 to 1. Return whether the pause got longer.
         """
         until = now + seconds
-        if until <= self.paused_until:
+        if seconds <= 0.0 or until <= self.paused_until:
             return False
         delay = min(MAX_RETURN_SECONDS, RETURN_SECONDS_PER_NODE * node_count) * spread
         self.paused_until = until
--- a/tests/test_availability.py
+++ b/tests/test_availability.py
@@ -3,7 +3,7 @@
 import math
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from daisylift.decisions.availability import (
@@ -112,6 +112,7 @@
 
 
 @given(STEPS, st.floats(min_value=0.0, max_value=1.0))
+@example([('pause', 0.0, 0.0)], 1.0)
 def test_no_sequence_of_answers_shortens_what_a_server_said(
     steps: list[tuple[str, float, float]], spread: float
 ) -> None:
