Explain where a request would go now, without sending it

`daisylift where HOST PATH` asks one entry VM at its metrics address; the VM answers from what placement itself uses (ineligibility and expected finish of each server, caps, age of its copies), so the report can't drift from the decision.

Weighed: a dry run through steering (it counts, waits and takes tokens), a log line per decision (on-call has those for requests that came), gRPC (an entry VM has no such server).

--- a/packages/daisylift-admin/src/daisylift_admin/cli/definition.py
+++ b/packages/daisylift-admin/src/daisylift_admin/cli/definition.py
@@ -6,6 +6,7 @@
 from daisylift_admin.client import NodeAddress
 
 DEFAULT_NODE = NodeAddress(host='127.0.0.1', port=7300)
+DEFAULT_VM = NodeAddress(host='127.0.0.1', port=9464)
 KEY_VARIABLE = 'DAISYLIFT_OPERATOR_KEY'
 
 DESCRIPTION = f"""Operates daisylift by calls to any of its nodes.
@@ -28,8 +29,12 @@
   status                             Show the members that the node knows.
   explain REQUEST_ID [FILE...]       Show from the logs of entry VMs what happened to a
                                      request; without files, read standard input.
+  where HOST PATH                    Show where the entry VM --vm would send a request
+                                     now, and why, without sending it. --tenant,
+                                     --failure_domain and --object describe it.
 
-The shared key is read from the environment variable {KEY_VARIABLE}; explain needs none.
+The shared key is read from the environment variable {KEY_VARIABLE}; explain and where
+need none.
 """
 
 
@@ -65,6 +70,25 @@
         upper_bound=1.0,
         flag_values=values,
     )
+    flags.DEFINE(
+        NodeAddressParser(),
+        'vm',
+        DEFAULT_VM,
+        'The metrics address of the entry VM to ask.',
+        flag_values=values,
+    )
+    flags.DEFINE_string(
+        'tenant', '', 'The name of the tenant that sends it.', flag_values=values
+    )
+    flags.DEFINE_string(
+        'failure_domain',
+        '',
+        'The failure domain of the caller (default: that of the VM).',
+        flag_values=values,
+    )
+    flags.DEFINE_string(
+        'object', '', 'The object that the request concerns.', flag_values=values
+    )
     flags.DEFINE_bool(
         'json',
         False,
--- a/packages/daisylift-admin/src/daisylift_admin/core.py
+++ b/packages/daisylift-admin/src/daisylift_admin/core.py
@@ -17,11 +17,14 @@
     Formatter,
     JsonFormatter,
     TextFormatter,
+    format_placement,
     format_trace,
 )
 from daisylift_admin.status import ExitStatus
+from daisylift_admin.where import PlacementQuestion, fetch_report
 
 EXPLAIN = 'explain'
+WHERE = 'where'
 
 
 def main(arguments: list[str], environment: Environment) -> ExitStatus:
@@ -38,6 +41,8 @@
     try:
         if words[0] == EXPLAIN:
             text = _explain(words[1:], values, environment)
+        elif words[0] == WHERE:
+            text = _where(words[1:], values, environment)
         else:
             text = asyncio.run(_run(words, values, environment))
     except AdminError as error:
@@ -69,6 +74,21 @@
     return format_trace(trace, as_json=as_json)
 
 
+def _where(words: list[str], values: flags.FlagValues, environment: Environment) -> str:
+    if len(words) != 2:
+        raise AdminError('where needs a host and a path', ExitStatus.USAGE)
+    question = PlacementQuestion(
+        host=words[0],
+        path=words[1],
+        tenant=values.tenant,
+        failure_domain=values.failure_domain,
+        object_key=values.object,
+    )
+    report = asyncio.run(fetch_report(values.vm, question))
+    as_json = values.json or not environment.stdout_is_terminal
+    return format_placement(report, as_json=as_json)
+
+
 def _read_lines(paths: list[str]) -> Iterator[str]:
     for path in paths:
         with Path(path).open(encoding='utf-8', errors='replace') as log:
--- a/packages/daisylift-node/src/daisylift_node/process/entry_application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_application.py
@@ -59,6 +59,11 @@
     UsageExchange,
 )
 from daisylift_node.request.entry_handler import EntryHandler
+from daisylift_node.request.placement_report import (
+    PlacementQuestion,
+    PlacementReporter,
+    QuestionError,
+)
 from daisylift_node.request.steering import Steering
 from daisylift_node.version.documents import StoreError
 from daisylift_node.version.fleet_view import FleetView
@@ -76,6 +81,7 @@
 TENANTS_PERIOD_SECONDS = 15.0  # of the figures of the tenants
 MAX_LOGGED_TENANTS = 10
 LISTEN_BACKLOG = 1024
+PLACEMENT_PATH = '/placement'  # on the metrics address
 BYTES_PER_MB = 1024 * 1024
 STOP_POLL_SECONDS = 0.02
 SIDE_STOP_SECONDS = 0.05  # short, as responses come from memory
@@ -185,6 +191,9 @@
         self.peers.receive_usage = self.usage.receive
         self.steering.admit_repeat = self.usage.admit_repeat
         self.handler.usage = self.usage
+        self._reporter = PlacementReporter(
+            self.view, self.steering, self.usage.describe, self._clock
+        )
         self._caller_server = web.Server(
             self._respond,
             request_factory=self._make_request,
@@ -226,7 +235,7 @@
         for handle, host, port in (
             (self._readiness, listen.readiness.host, listen.readiness.port),
             (self._directory, listen.directory.host, listen.directory.port),
-            (self._metrics_page, self.settings.vm.host, listen.metrics_port),
+            (self._operations, self.settings.vm.host, listen.metrics_port),
         ):
             server = web.Server(handle)
             self._side_servers.append(server)
@@ -463,6 +472,36 @@
         routes = self.view.routes
         return routes.home_regions(host) if routes else frozenset()
 
+    async def _operations(self, request: web.BaseRequest) -> web.Response:
+        """Serve the metrics, or where a request would go."""
+        if request.path != PLACEMENT_PATH:
+            return await self._metrics_page(request)
+        try:
+            question = PlacementQuestion.from_query(request.query)
+        except QuestionError as error:
+            return web.json_response({'error': str(error)}, status=400)
+        vm = self.settings.vm
+        failure_domain = request.query.get('failure_domain', vm.failure_domain)
+        asked = {'vm': vm.id, 'failure_domain': vm.failure_domain}
+        entry_vms = self._entry_vms(question.host, failure_domain)
+        report = asked | self._reporter.report(question) | {'entry_vms': entry_vms}
+        return web.json_response(report)
+
+    def _entry_vms(self, host: str, failure_domain: str) -> list[str]:
+        """Return the VMs that callers of the failure domain are sent to."""
+        members = dict(self.view.members_by_name)
+        members[self.member.name] = self.member
+        addresses = select_entry_addresses(
+            self.view.region_by_domain.get(failure_domain, ''),
+            failure_domain,
+            members.values(),
+            self.peers.is_ready,
+            lambda: 0.0,
+            self._home_regions(host),
+        )
+        names = {each.caller_address: each.name for each in members.values()}
+        return sorted(names[each] for each in addresses)
+
     async def _metrics_page(self, request: web.BaseRequest) -> web.Response:
         for kind, replica in self.view.replicas_by_kind.items():
             self.metrics.set_replica_revision(kind, replica.revision)
--- a/packages/daisylift-node/src/daisylift_node/process/usage_exchange.py
+++ b/packages/daisylift-node/src/daisylift_node/process/usage_exchange.py
@@ -106,6 +106,10 @@
             return {}
         return dict(self._grants.describe(call.tenant.name, now()))
 
+    def describe(self, tenant: Tenant) -> Mapping[str, object]:
+        """Return this VM's part of the tenant's cap at this moment."""
+        return self._grants.describe(tenant.name, now())
+
     def receive(self, data: bytes, address: Address) -> None:
         """Answer the questions of a peer, or use its replies."""
         try:
--- a/packages/daisylift-node/src/daisylift_node/request/steered_call.py
+++ b/packages/daisylift-node/src/daisylift_node/request/steered_call.py
@@ -64,11 +64,7 @@
 
         The set is empty if the route and the tenant have no region in common.
         """
-        route_homes = self.route.home_regions
-        tenant_homes = self.tenant.home_regions if self.tenant else frozenset()
-        if route_homes and tenant_homes:
-            return route_homes & tenant_homes
-        return route_homes or tenant_homes or None
+        return home_regions(self.route, self.tenant)
 
     def may_own(self, metadata: ResponseMetadata) -> bool:
         """Return whether the response may belong to this request, not to another.
@@ -85,3 +81,11 @@
             return True
         is_named = not self.request_id or metadata.request_id == self.request_id
         return metadata.is_stamped and is_named
+
+
+def home_regions(route: Route, tenant: Tenant | None) -> frozenset[str] | None:
+    """Return the regions that may serve requests of the tenant, None if all may."""
+    tenant_homes = tenant.home_regions if tenant else frozenset()
+    if route.home_regions and tenant_homes:
+        return route.home_regions & tenant_homes
+    return route.home_regions or tenant_homes or None
--- a/packages/daisylift-node/src/daisylift_node/request/steering.py
+++ b/packages/daisylift-node/src/daisylift_node/request/steering.py
@@ -15,7 +15,7 @@
 from daisylift.decisions.availability import retry_after_pause
 from daisylift.decisions.cold_start import ColdStartLimiter
 from daisylift.decisions.entry_stop import EntryStopPlan
-from daisylift.decisions.placement import Placement
+from daisylift.decisions.placement import Placement, WorkEstimate
 from daisylift.decisions.region_shift import PlacementScope, RegionShiftLimiter
 from daisylift.decisions.retry_budget import RetryBudget
 from daisylift.decisions.server_stats import ServerStats
@@ -26,6 +26,7 @@
     retry_after_seconds,
 )
 from daisylift.decisions.work_estimates import RouteWorkEstimator, WorkEstimates
+from daisylift.models.desired_state import Route
 from daisylift_node.connection.server_connection import (
     ExchangeLostError,
     NotSentError,
@@ -186,6 +187,12 @@
             call.route.name, call.service, call.route.target_seconds
         )
 
+    def estimate(self, route: Route, service: str) -> WorkEstimate:
+        """Return the expected work of a request of the route at the service."""
+        return self._estimates.for_route(
+            route.name, service, route.target_seconds
+        ).estimate()
+
     def _try_place(self, call: SteeredCall) -> Placement | None:
         """Choose a server that can start the request now; return None if there is none.
 
--- a/packages/daisylift-node/src/daisylift_node/version/fleet_view.py
+++ b/packages/daisylift-node/src/daisylift_node/version/fleet_view.py
@@ -6,7 +6,11 @@
 
 from loguru import logger
 
-from daisylift.decisions.availability import Availability, AvailabilityRegister
+from daisylift.decisions.availability import (
+    Availability,
+    AvailabilityRegister,
+    Exclusion,
+)
 from daisylift.decisions.cold_start import ColdStartLimiter
 from daisylift.decisions.fleet_roles import ALL_WATCH_MAX_VMS, SMALL_FLEET_MAX_VMS
 from daisylift.decisions.limit_notices import LimitNotice, LimitNotices
@@ -214,6 +218,16 @@
             if (exclusion := entry.stats.exclusion(now)) is not None
         )
 
+    def unusable_by_id(self, service: str) -> dict[str, str]:
+        """Return why registered servers of the service are left out of placement."""
+        return {
+            server_id: 'evacuated'
+            if entry.server.failure_domain in self.evacuated_domains
+            else Exclusion.LEAVING.value
+            for server_id, entry in self._entries_by_id.items()
+            if entry.server.service == service and not self._is_usable(entry)
+        }
+
     def record_limit_change(
         self,
         server: RegisteredServer,
--- a/packages/daisylift/src/daisylift/decisions/placement.py
+++ b/packages/daisylift/src/daisylift/decisions/placement.py
@@ -39,6 +39,8 @@
 SAME_REGION_SERVERS = 1  # per object; more would evict warm objects
 OTHER_REGION_SERVERS = 1  # per object, used when the region is full
 LIMITED_RATE_SECONDS = 0.25  # summing up all shares costs time in a large fleet
+OUTSIDE_HOMES = 'outside the home regions'
+AT_RATE_LIMIT = 'at its request rate limit'
 SAMPLED_SERVERS = 8  # servers per group considered for a request without an object
 
 
@@ -154,6 +156,29 @@
         listed = self._listed_candidates(object_key, estimate, can_use)
         return self._lowest_cost(listed, object_key, estimate, now)
 
+    def ineligibility(
+        self, candidate: Candidate, allowed: Collection[str] | None, now: float
+    ) -> str | None:
+        """Return why no request may go to the server now, None if one may.
+
+        ``allowed`` names the regions that may serve; None means any.
+        """
+        if allowed is not None and candidate.region not in allowed:
+            return OUTSIDE_HOMES
+        if (exclusion := candidate.stats.exclusion(now)) is not None:
+            return exclusion.value
+        return None if self._is_within_limit(candidate, now) else AT_RATE_LIMIT
+
+    def estimate_finish(
+        self,
+        candidate: Candidate,
+        object_key: str | None,
+        estimate: WorkEstimate,
+        now: float,
+    ) -> Placement | None:
+        """Return the estimates for a request at the server, None if it is full."""
+        return self._lowest_cost((candidate,), object_key, estimate, now)
+
     def record_send(self, server_id: str, now: float) -> None:
         """Count a request sent to the server against its request rate limit."""
         candidate = self.candidates_by_id.get(server_id)
--- a/packages/daisylift/src/daisylift/decisions/server_stats.py
+++ b/packages/daisylift/src/daisylift/decisions/server_stats.py
@@ -70,6 +70,10 @@
         weight = math.exp(-age / LOAD_REPORT_DECAY_SECONDS)
         return self.in_flight + weight * self._others_load + (1.0 - weight) * usual
 
+    def load_age_seconds(self, now: float) -> float:
+        """Return the age of the last load report, infinite if there was none."""
+        return now - self._others_load_updated_at
+
     def failure_rate(self, now: float) -> float:
         """Return the share of recent requests at the server that failed."""
         if not self._failure_rate:
