--- a/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
+++ b/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
@@ -95,7 +95,7 @@
         self._members_at: Position | None = None
         self._is_watching: bool | None = None
         self._role_at = 0.0
-        self._sent_at = _time_with_suspension()
+        self._sent_at: float | None = None
         view.watches_store = self.watches_store
 
     async def start(self) -> None:
@@ -190,9 +190,9 @@
         Until the store answers them, this VM does not confirm the copies of its peers.
         """
         previous, self._sent_at = self._sent_at, _time_with_suspension()
-        seconds = self._sent_at - previous
-        if seconds < FROZEN_SECONDS:
+        if previous is None or self._sent_at - previous < FROZEN_SECONDS:
             return
+        seconds = self._sent_at - previous
         logger.bind(seconds=round(seconds, 2)).warning(
             'this VM stood still: beginning its watches of the store anew'
         )
--- a/tests/test_peer_copies.py
+++ b/tests/test_peer_copies.py
@@ -90,3 +90,21 @@
             peers.datagram_received(b'x', ('127.0.0.1', 9))
     assert logs.first('copy of a peer not applied')['kind'] == 'servers'
     assert logs.first('gossip datagram not applied')['peer'] == '127.0.0.1'
+
+
+async def test_a_vm_that_stood_still_begins_its_watches_anew(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Else it confirms the copies of its peers by a watch that nobody answers."""
+    async with EntryHarness() as entry:
+        assert entry.application is not None
+        peers = entry.application.peers
+        replica = entry.application.view.config
+        await asyncio.sleep(0.5)
+        assert replica.age_seconds() == 0.0
+        entry.store.faults.silent = True
+        now = peer_exchange._time_with_suspension()
+        monkeypatch.setattr(peer_exchange, '_time_with_suspension', lambda: now + 5.0)
+        await peers.send_gossip()
+        await asyncio.sleep(0.3)
+        assert replica.age_seconds() >= 0.2
