--- a/packages/daisylift-node/src/daisylift_node/request/entry_handler.py
+++ b/packages/daisylift-node/src/daisylift_node/request/entry_handler.py
@@ -272,7 +272,8 @@
         )
         if call is not None:
             self._metrics.record_wait(service, call.waited_seconds)
-            if call.tenant is not None:
+            is_capped = reason == Reason.USAGE_CAPPED.name.lower()
+            if call.tenant is not None and not is_capped:
                 is_served = name == 'answered' and status < SERVER_ERROR
                 self.tenant_stats.record(call.tenant.name, name, is_served=is_served)
             line = line.bind(
