Let a new VM own no part of a cap before others can know of it

Callers saw: nothing yet; all VMs together could run more than a cap for the seconds in which VMs that are added own parts that the others still spend.

Cause: the members were read for caps half a second after the start, when the VM had registered already, so it took itself for one that was started again.

The new test failed before: a new VM of two owned 15 of 30 a second after one second. Now the members are applied before the VM registers.

--- a/packages/daisylift-node/src/daisylift_node/process/entry_application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_application.py
@@ -309,6 +309,7 @@
             if not self.view.members.is_loaded:
                 await asyncio.sleep(LOADED_POLL_SECONDS)
                 continue
+            await self.usage.update_members()  # as they are without this VM
             registered = self.view.registered_member(self.member.name)
             if registered == self.member:
                 await asyncio.sleep(REGISTER_PERIOD_SECONDS)
--- a/packages/daisylift/src/daisylift/decisions/usage_grants.py
+++ b/packages/daisylift/src/daisylift/decisions/usage_grants.py
@@ -169,8 +169,11 @@
         self._next_id = rng.getrandbits(ASK_ID_BITS)
 
     def set_members(self, region_by_name: Mapping[str, str], now: float) -> None:
-        """Set the registered VMs and their regions."""
-        if region_by_name == self._region_by_name:
+        """Set the registered VMs and their regions.
+
+        A VM that is in the first ones has been started again: the others count it.
+        """
+        if self._rings and region_by_name == self._region_by_name:
             return
         self._region_by_name = region_by_name
         self._rings.append((now, OwnerRing(region_by_name)))
--- a/tests/test_usage_exchange.py
+++ b/tests/test_usage_exchange.py
@@ -123,3 +123,18 @@
         tasks.append(asyncio.create_task(harness.send()))
         await asyncio.sleep(1 / 60)
     return [reply.status for reply in await asyncio.gather(*tasks)].count(200)
+
+
+async def test_a_new_vm_owns_nothing_at_first_and_one_that_starts_again_does() -> None:
+    """Before, a VM that had registered within its first half second owned its part."""
+    async with EntryHarness(name='entry-1') as first:
+        await first.configure(1, make_rule('/x/', 'catalogue'))
+        for expected_zero in (True, False):
+            vm = EntryHarness(store=first.store, name='entry-2', owns_store=False)
+            async with vm:
+                cap(vm, 30.0)
+                await asyncio.sleep(SETTLE_SECONDS)
+                await vm.send()
+                assert vm.application is not None
+                fields = vm.application.usage.log_fields(a_call_of('t'))
+                assert (fields['own_per_second'] == 0.0) is expected_zero
