Give a VM its part of a usage cap at once after a start under load

Cause: requests arrived before the registered VMs had been read. The state of their tenant was made with a part of 0, and the first list of members then looked like a part that moves to this VM, which is held for 3 s. The log shows it: own_per_second 0.0, owners 0, in the lines of refused requests until 34 s, and members listed at 31.56 s.

A state without members is now no part at all; its callers are told to come back in 0.3 s. A VM that the first list lacks still owns nothing for 3 s. tests/test_usage_start.py failed before (assert 0 >= 9 tokens in a second) and passes.

--- a/packages/daisylift/src/daisylift/decisions/usage_grants.py
+++ b/packages/daisylift/src/daisylift/decisions/usage_grants.py
@@ -37,6 +37,7 @@
 SILENT_PAUSE_SECONDS = 1.0  # for an owner that did not reply
 MAX_LOST_SHARE = 0.125  # of the VMs; if more are lost, no VM gains a part of a cap
 ISOLATED_RATE_SHARE = 0.8  # of its part; for a VM that sees fewer than half alive
+STARTING_RETRY_SECONDS = 0.3  # until a VM that starts knows the registered VMs
 MAX_RINGS = 16  # kept while parts may not move
 DEMAND_SECONDS = 0.4  # time constant of the average demand
 IDLE_SECONDS = 30.0  # then the state of a tenant is dropped
@@ -311,6 +312,8 @@
         Each refused caller is told a later time, by the rate of the tokens here.
         """
         state = self._states.get(tenant)
+        if not self._rings:
+            return STARTING_RETRY_SECONDS
         if state is None:
             return MAX_RETRY_AFTER_SECONDS
         own = state.bucket.seconds_until(1.0, now)
@@ -374,6 +377,8 @@
 
     def _apply(self, state: _TenantState, now: float) -> None:
         """Compute owners and part anew after members or cap have changed."""
+        if not self._rings:
+            return  # after a start; a part of 0 would look like one that is moving
         few_lost = self._lost <= MAX_LOST_SHARE * (self._lost + self._alive)
         settled_at = now - OWNER_HOLD_SECONDS
         while len(self._rings) > 1 and self._rings[1][0] <= settled_at and few_lost:
--- /dev/null
+++ b/tests/test_usage_start.py
@@ -0,0 +1,33 @@
+"""Tests of the usage caps of a VM that is started again while requests arrive."""
+
+import random
+
+from daisylift.decisions.usage_caps import UsageBounds
+from daisylift.decisions.usage_grants import STARTING_RETRY_SECONDS, UsageGrants
+
+MEMBERS = {'vm-1': 'arusha', 'vm-2': 'arusha'}
+PER_SECOND, BURST = 20.0, 20.0
+
+
+def test_a_request_before_the_members_are_known_does_not_hold_the_vms_part_back() -> (
+    None
+):
+    """After all VMs lost power, callers got 429 for three seconds more."""
+    grants = UsageGrants('vm-1', UsageBounds(), 0.0, random.Random(1))
+    assert grants.take('acme', PER_SECOND, BURST, 0.01) is None
+    assert grants.retry_after('acme', 0.01) == STARTING_RETRY_SECONDS
+    grants.set_members(MEMBERS, 0.02)
+    taken = sum(
+        grants.take('acme', PER_SECOND, BURST, 0.02 + step / 100) is not None
+        for step in range(100)
+    )
+    assert taken >= 0.9 * PER_SECOND / len(MEMBERS)
+
+
+def test_a_vm_that_the_first_members_lack_owns_nothing_though_it_was_asked() -> None:
+    grants = UsageGrants('vm-3', UsageBounds(), 0.0, random.Random(1))
+    assert grants.take('acme', PER_SECOND, BURST, 0.01) is None
+    grants.set_members(MEMBERS, 0.02)
+    grants.set_members({**MEMBERS, 'vm-3': 'arusha'}, 0.5)
+    moments = [0.5 + step / 100 for step in range(250)]
+    assert all(grants.take('acme', PER_SECOND, BURST, at) is None for at in moments)
