Read how long work takes on a server's machine

Servers of the new deployments share their machines and report a fourth figure of Server-Load: how long work takes there now, 100 being usual. It changes many times a second.

LoadReport.slowdown holds it as a factor, None if the server did not say; a figure that can't be read leaves the other three as they are. ServerStats.slowdown() returns the expected factor of a run that starts now. Weighed: the last figure as it is (wrong for as long as no response comes, which is seconds at 110 VMs), a moving average (says nothing of now; `slowness` has that already), and what is taken: the excess fades with the figure's age, with a decay of 0.25 s for "many times a second", and is averaged over the length of the run. A figure of 2.5 counts as 2.24 for a run of 0.1 s at age 0, as 1.08 at age 0.7 s.

The test that held the fourth figure to be ignored now asks for its value; that further figures don't drop the report stays tested.

--- a/packages/daisylift-node/src/daisylift_node/platform/headers.py
+++ b/packages/daisylift-node/src/daisylift_node/platform/headers.py
@@ -14,12 +14,13 @@
 EXPECTED_SERVER = 'Target-Instance'
 NOT_EXECUTED = 'Not-Executed'  # any value: the presence of the header counts
 RESPONSE_STAMP = 'Response-Stamp'  # a MAC of the response
-LOAD = 'Server-Load'  # "running,waiting,slots"; newer servers add figures
+LOAD = 'Server-Load'  # "running,waiting,slots[,slowdown in percent]"
 LEAVING = 'Server-Leaving'  # "1" in all answers of a server that leaves
 PAUSE = 'Retry-After'  # in a 503: seconds for which the server wants nothing
 LEAVING_KEY, PAUSE_KEY = LEAVING.lower(), PAUSE.lower()
 LIMIT = 'Server-Limit'  # requests per second from all nodes together
 LOAD_FIGURES = 3
+USUAL_SLOWDOWN = 100.0  # percent
 _SECONDS = re.compile(r'[0-9]{1,6}(\.[0-9]{1,9})?')
 _FIGURE = re.compile('[0-9]{1,9}')
 MS_PER_SECOND = 1000.0
@@ -135,4 +136,10 @@
     ):
         return None
     running, waiting, slots = map(int, figures[:LOAD_FIGURES])
-    return LoadReport(running=running, waiting=waiting, slots=slots)
+    return LoadReport(running, waiting, slots, _slowdown(figures[LOAD_FIGURES:]))
+
+
+def _slowdown(figures: list[str]) -> float | None:
+    if not figures or not _FIGURE.fullmatch(figures[0]):
+        return None
+    return int(figures[0]) / USUAL_SLOWDOWN or None
--- a/packages/daisylift/src/daisylift/decisions/server_stats.py
+++ b/packages/daisylift/src/daisylift/decisions/server_stats.py
@@ -1,4 +1,10 @@
-"""Tracks load, speed, failures and warm objects of one backend server on a node."""
+"""Tracks load, speed, failures and warm objects of one backend server on a node.
+
+Load pattern: servers share their machines with others and report how much longer work
+takes there at the moment, a figure that changes many times a second. A node sees it
+rarely if the fleet is large, and a long run outlasts it. Its weight therefore fades
+with its age and with the length of the run.
+"""
 
 import math
 from collections import OrderedDict
@@ -7,6 +13,8 @@
 from daisylift.decisions.availability import Availability, Exclusion
 from daisylift.decisions.server_limits import ServerLimit
 
+SLOWDOWN_DECAY_SECONDS = 0.25  # reported figures change several times a second
+MAX_SLOWDOWN = 10.0
 LOAD_REPORT_DECAY_SECONDS = 0.6  # half of the reported load of others is stale by then
 SMOOTHING = 0.15  # weight of the newest sample in moving averages
 FAILURE_SMOOTHING = 0.2  # five failures in a row bring the rate to two thirds
@@ -21,11 +29,16 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
-    """The load that a backend server reported in a response."""
+    """The load that a backend server reported in a response.
+
+    ``slowdown`` is how long work takes on its machine now, over the usual time; None if
+    it did not say.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
 
     @property
     def per_slot(self) -> float:
@@ -50,6 +63,8 @@
     is_displaced: bool = False
     limit: ServerLimit = field(default_factory=ServerLimit)
     availability: Availability = field(default_factory=Availability)
+    _slowdown: float = 1.0
+    _slowdown_updated_at: float = -math.inf
     _others_load: float = 0.0
     _others_load_updated_at: float = -math.inf
     _failure_rate: float = 0.0
@@ -70,6 +85,20 @@
         weight = math.exp(-age / LOAD_REPORT_DECAY_SECONDS)
         return self.in_flight + weight * self._others_load + (1.0 - weight) * usual
 
+    def slowdown(self, work_seconds: float, now: float) -> float:
+        """Return the expected slowdown of a run that starts now, 1 being usual.
+
+        It is the average over the run of the last reported figure, which fades to 1.
+        """
+        if self._slowdown == 1.0:
+            return 1.0
+        decay = SLOWDOWN_DECAY_SECONDS
+        excess = (self._slowdown - 1.0) * math.exp(
+            (self._slowdown_updated_at - now) / decay
+        )
+        length = work_seconds / decay
+        return 1.0 + excess * -math.expm1(-length) / length if length else 1.0 + excess
+
     def failure_rate(self, now: float) -> float:
         """Return the share of recent requests at the server that failed."""
         if not self._failure_rate:
@@ -116,6 +145,9 @@
         self._others_load = max(0.0, report.running + report.waiting - self.in_flight)
         self._others_load_updated_at = now
         self.slots = max(1, report.slots)
+        if report.slowdown is not None:
+            self._slowdown = min(report.slowdown, MAX_SLOWDOWN)
+            self._slowdown_updated_at = now
 
     def mark_displaced(self) -> None:
         """Exclude the server permanently: another server now has its address.
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -240,11 +240,23 @@
     assert PlatformDialect().read_response(200, {'server-load': load}).load is None
 
 
-def test_a_load_with_a_figure_of_newer_servers_is_not_dropped() -> None:
+def test_a_load_names_the_slowdown_of_the_machine() -> None:
     load = PlatformDialect().read_response(200, {'server-load': '1,2,6,130'}).load
+    assert load == LoadReport(running=1, waiting=2, slots=6, slowdown=1.3)
+
+
+# A slowdown that cannot be read took the rest of the report with it.
+@pytest.mark.parametrize('more', ['', ',', ',x', ',-5', ',0', ',1e3', ',,7', ',nan'])
+def test_a_load_without_a_readable_slowdown_keeps_its_other_figures(more: str) -> None:
+    load = PlatformDialect().read_response(200, {'server-load': f'1,2,6{more}'}).load
     assert load == LoadReport(running=1, waiting=2, slots=6)
 
 
+def test_a_load_with_figures_of_newer_servers_is_not_dropped() -> None:
+    load = PlatformDialect().read_response(200, {'server-load': '1,2,6,130,9'}).load
+    assert load == LoadReport(running=1, waiting=2, slots=6, slowdown=1.3)
+
+
 def test_responses_of_requests_that_did_not_run_are_recognized() -> None:
     dialect = PlatformDialect()
     assert dialect.read_response(503, {'not-executed': '1'}).was_not_run
