Find the pace of servers that start or recover from their responses

ColdStartLimiter bounds a cold server by a fixed share only; nothing looked at how it answers, and all VMs sent what waited for it at the same moment.

decisions/server_pace.py: VMs begin one after another with what has waited, one request at a time until a response came in time; a refusal or late response halves the share of objects sent there, a failure quarters it, a start soon after another halves it; in-time responses and time raise it. ColdStartLimiter stays the hard bound. `[pace] servers` is auto (once a server has reported a shared machine's speed), on or off, so earlier deployments run as before.

--- a/packages/daisylift-node/src/daisylift_node/entry_config.py
+++ b/packages/daisylift-node/src/daisylift_node/entry_config.py
@@ -1,7 +1,8 @@
 """The settings of an entry VM on a platform that stores all persistent state.
 
 They are read from an INI file and validated. Sections: ``vm``, ``listen``, ``peer``,
-``store``, ``domains`` (failure domain = region), ``limits``, ``bounds`` and ``log``.
+``store``, ``domains`` (failure domain = region), ``limits``, ``bounds``, ``pace`` and
+``log``.
 """
 
 import configparser
@@ -12,6 +13,7 @@
 from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, ValidationError
 
 from daisylift_node.errors import SettingsError
+from daisylift_node.version.server_paces import PaceMode
 
 MAX_PORT = 65535
 MAX_LINK_MBPS = 1e7
@@ -114,6 +116,16 @@
     max_region_shift: float = Field(default=0.15, gt=0, le=1)
 
 
+class PaceSection(Section):
+    """Which servers begin with less than their usual load when they start or recover.
+
+    ``servers``: ``auto`` paces all once a server has reported that it shares its
+    machine, ``on`` paces all, ``off`` none.
+    """
+
+    servers: PaceMode = PaceMode.AUTO
+
+
 class LogSection(Section):
     """The lowest level that is logged."""
 
@@ -130,6 +142,7 @@
     domains: dict[str, str]
     limits: LimitsSection
     bounds: BoundsSection = BoundsSection()
+    pace: PaceSection = PaceSection()
     log: LogSection = LogSection()
 
 
--- a/packages/daisylift-node/src/daisylift_node/process/entry_application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_application.py
@@ -49,6 +49,7 @@
 WAKE_PERIOD_SECONDS = 0.05  # waiters notice slots freed elsewhere within this time
 EXPIRE_LAPSED_PERIOD_SECONDS = 0.2
 EXPIRE_HELD_PERIOD_SECONDS = 0.5
+FOLLOW_PACES_PERIOD_SECONDS = 0.5
 LOG_FLUSH_PERIOD_SECONDS = 0.2
 CLOSE_IDLE_PERIOD_SECONDS = 1.0
 INCARNATIONS_PER_SECOND = 2  # a restart takes over 0.5 s; 32 bits last until 2038
@@ -114,6 +115,7 @@
             watch_seconds(bounds.stability_window_ms / MS_PER_SECOND),
             rewrite_seconds(settings.store.heartbeat_ms / MS_PER_SECOND),
         )
+        self.view.paces.mode = settings.pace.servers
         self.member = EntryMember(
             name=vm.id,
             incarnation=int(time.time() * INCARNATIONS_PER_SECOND),
@@ -194,6 +196,7 @@
         self.timer.subscribe(WAKE_PERIOD_SECONDS, self._wake)
         self.timer.subscribe(EXPIRE_LAPSED_PERIOD_SECONDS, self.view.expire_lapsed)
         self.timer.subscribe(EXPIRE_HELD_PERIOD_SECONDS, self.view.expire_held)
+        self.timer.subscribe(FOLLOW_PACES_PERIOD_SECONDS, self.view.follow_paces)
         self.timer.subscribe(CLOSE_IDLE_PERIOD_SECONDS, self.pool.close_idle)
         self.timer.subscribe(REMOVE_LOST_PERIOD_SECONDS, self._remove_lost)
         self.timer.subscribe(LOG_FLUSH_PERIOD_SECONDS, self._lines.drain)
@@ -382,6 +385,8 @@
             self.metrics.set_unreadable(kind, self.view.unreadable_count(kind))
         self.metrics.set_store_era(self.store.era)
         self.metrics.set_excluded_servers(self.view.exclusions())
+        paces = self.view.paces
+        self.metrics.set_paces(paces.counts(), paces.withheld_by_service)
         for service, queue in self.steering.queues_by_service.items():
             self.metrics.set_waiting(service, len(queue.waiters))
         return web.Response(body=self.metrics.exposition(), content_type='text/plain')
--- a/packages/daisylift-node/src/daisylift_node/process/entry_metrics.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_metrics.py
@@ -89,6 +89,18 @@
             ('service', 'reason'),
             registry=self.registry,
         )
+        self._paced_servers = Gauge(
+            'daisylift_paced_servers',
+            'Servers that are watched since they started or recovered.',
+            ('service',),
+            registry=self.registry,
+        )
+        self._pace_withheld = Gauge(
+            'daisylift_pace_withheld_placements',
+            'Placements so far that passed over a server because of its pace.',
+            ('service',),
+            registry=self.registry,
+        )
         self._timer_failures = Counter(
             'daisylift_timer_failures',
             'Periodic calls that ended with an unexpected error.',
@@ -153,6 +165,14 @@
         for (service, reason), count in counts.items():
             self._excluded_servers.labels(service, reason).set(count)
 
+    def set_paces(self, paced: Mapping[str, int], withheld: Mapping[str, int]) -> None:
+        """Set the servers below their usual load, and the placements withheld."""
+        self._paced_servers.clear()
+        for service, count in paced.items():
+            self._paced_servers.labels(service).set(count)
+        for service, count in withheld.items():
+            self._pace_withheld.labels(service).set(count)
+
     def set_lines_dropped(self, count: int) -> None:
         """Set the number of dropped log lines."""
         self._lines_dropped.set(count)
--- a/packages/daisylift-node/src/daisylift_node/request/learning.py
+++ b/packages/daisylift-node/src/daisylift_node/request/learning.py
@@ -2,7 +2,8 @@
 
 from loguru import logger
 
-from daisylift.decisions.placement import Placement
+from daisylift.decisions.placement import COLD_SLOWDOWN_FACTOR, Placement
+from daisylift.decisions.server_pace import PaceEvidence
 from daisylift.decisions.work_estimates import RouteWorkEstimator
 from daisylift_node.connection.server_connection import ServerResponse
 from daisylift_node.request.dialect import ResponseMetadata
@@ -46,6 +47,29 @@
         placement.region_stats.record_run(warm, placement.was_seen)
 
 
+def pace_evidence(
+    placement: Placement,
+    work: RouteWorkEstimator,
+    response: ServerResponse,
+    metadata: ResponseMetadata,
+    duration_seconds: float,
+    now: float,
+) -> PaceEvidence:
+    """Return what the response says of the load that the server bears."""
+    if metadata.was_not_run:
+        return PaceEvidence(is_refusal=True)
+    if response.status >= SERVER_ERROR:
+        return PaceEvidence(is_failure=True)
+    load = metadata.load
+    if load is not None and load.waiting:
+        usual_load = max(1.0, placement.region_stats.load_per_slot(now))
+        return PaceEvidence(excess_load=load.per_slot - usual_load)
+    usual = work.warm_seconds if placement.was_seen else work.cold_seconds
+    if placement.stats.is_cold(now - duration_seconds):
+        usual *= COLD_SLOWDOWN_FACTOR
+    return PaceEvidence(time_ratio=duration_seconds / usual)
+
+
 def learn_availability(
     placement: Placement,
     metadata: ResponseMetadata,
--- a/packages/daisylift-node/src/daisylift_node/request/steering.py
+++ b/packages/daisylift-node/src/daisylift_node/request/steering.py
@@ -13,11 +13,12 @@
 
 from loguru import logger
 
-from daisylift.decisions.availability import retry_after_pause
+from daisylift.decisions.availability import Exclusion, retry_after_pause
 from daisylift.decisions.cold_start import ColdStartLimiter
 from daisylift.decisions.placement import Placement
 from daisylift.decisions.region_shift import PlacementScope, RegionShiftLimiter
 from daisylift.decisions.retry_budget import RetryBudget
+from daisylift.decisions.server_pace import PaceEvidence
 from daisylift.decisions.server_stats import ServerStats
 from daisylift.decisions.wait_queue import (
     Waiter,
@@ -43,11 +44,13 @@
     learn_availability,
     learn_from_response,
     learn_limit,
+    pace_evidence,
 )
 from daisylift_node.request.outcome import Answered, Failed, Outcome, Reason, Refused
 from daisylift_node.request.send_result import SendResult
 from daisylift_node.request.steered_call import SteeredCall
 from daisylift_node.version.fleet_view import FleetView
+from daisylift_node.version.server_paces import PaceReason
 
 MIN_REMAINING_SECONDS = 0.02  # with less time remaining, a request is not sent
 MAX_UNREACHABLE_SERVERS = 4  # unreachable servers per request before it is refused
@@ -140,7 +143,9 @@
             call.route.name, call.service, call.route.target_seconds
         )
 
-    def _try_place(self, call: SteeredCall) -> Placement | None:
+    def _try_place(
+        self, call: SteeredCall, has_waited: bool = False
+    ) -> Placement | None:
         """Choose a server that can start the request now; return None if there is none.
 
         Servers tried before are not chosen again. The limit on region shifts applies
@@ -155,7 +160,7 @@
         def choose(scope: PlacementScope) -> Placement | None:
             estimate = self._work(call).estimate()
             return placer.choose(
-                call.object_key, estimate, home_regions, usable, now, scope
+                call.object_key, estimate, home_regions, usable, now, scope, has_waited
             )
 
         can_serve_locally = placer.can_serve_locally(home_regions)
@@ -233,7 +238,7 @@
         def wake() -> bool:
             if future.done():
                 return False
-            placement = self._try_place(call)
+            placement = self._try_place(call, has_waited=True)
             if placement is None and not self._is_unservable(call):
                 return False
             future.set_result(placement)
@@ -308,34 +313,49 @@
             _log_attempt(call, stats, 'request not sent', str(error))
             return SendResult(None, None, was_sent=False, was_withdrawn=True)
         except NotSentError as error:
-            stats.mark_unreachable(self._clock())
+            self._mark_unreachable(placement)
             _log_attempt(call, stats, 'request not sent', str(error))
             return SendResult(None, None, was_sent=False)
         except ExchangeLostError as error:
             if error.is_silent:
-                stats.mark_unreachable(self._clock())
+                self._mark_unreachable(placement)
             else:
                 stats.record_failure(self._clock())
+            self._record_pace(placement, PaceEvidence(is_failure=True), started)
             if error.lost_before_response:
                 self._poison_requests.record_crash(call.digest, server.incarnation_id)
             _log_attempt(call, stats, 'response lost', str(error))
             return SendResult(None, None, was_sent=True)
         except TimeoutError:
             stats.record_failure(self._clock())
+            self._record_pace(placement, PaceEvidence(is_refusal=True), started)
             _log_attempt(call, stats, 'response lost', 'time limit reached')
             return SendResult(None, None, was_sent=True)
         metadata = self._read_metadata(response)
+        self._learn(call, placement, response, metadata, started)
+        return SendResult(response, metadata, was_sent=True)
+
+    def _learn(
+        self,
+        call: SteeredCall,
+        placement: Placement,
+        response: ServerResponse,
+        metadata: ResponseMetadata,
+        started: float,
+    ) -> None:
+        """Update what is known of the server from its response."""
+        server, stats = placement.server, placement.stats
         now = self._clock()
-        has_object = call.object_key is not None
         learn_from_response(
             placement,
             self._work(call),
             response,
             metadata,
             now - started,
-            has_object,
+            call.object_key is not None,
             now,
         )
+        self._learn_pace(call, placement, response, metadata, started)
         if learn_availability(
             placement,
             metadata,
@@ -344,6 +364,9 @@
             started,
             now,
         ):
+            if stats.availability.exclusion(now) is Exclusion.PAUSED:
+                resumes_at = stats.availability.resumes_at
+                self._view.start_pace(server, stats, PaceReason.PAUSED, resumes_at)
             self._view.record_availability_change(server, stats.availability)
         self._metrics.count_statements(server.service, metadata)
         previous_limit = stats.limit.per_second
@@ -351,7 +374,44 @@
             self._view.record_limit_change(
                 server, stats.limit, previous_limit, RESPONSE_SOURCE
             )
-        return SendResult(response, metadata, was_sent=True)
+
+    def _mark_unreachable(self, placement: Placement) -> None:
+        """Suspend the server; one that stays unreachable begins with a low pace."""
+        server, stats = placement.server, placement.stats
+        was_unreachable = stats.is_unreachable
+        stats.mark_unreachable(self._clock())
+        if was_unreachable:
+            self._view.start_pace(
+                server, stats, PaceReason.UNREACHABLE, stats.suspended_until
+            )
+
+    def _learn_pace(
+        self,
+        call: SteeredCall,
+        placement: Placement,
+        response: ServerResponse,
+        metadata: ResponseMetadata,
+        sent_at: float,
+    ) -> None:
+        """Adapt the pace of the server to its response."""
+        if metadata.is_other_server:
+            return
+        if metadata.load is not None:
+            self._view.paces.record_slowdown(metadata.load.slowdown)
+        if not self._view.paces.is_enabled:
+            return
+        now = self._clock()
+        evidence = pace_evidence(
+            placement, self._work(call), response, metadata, now - sent_at, now
+        )
+        self._record_pace(placement, evidence, sent_at)
+
+    def _record_pace(
+        self, placement: Placement, evidence: PaceEvidence, sent_at: float
+    ) -> None:
+        self._view.paces.record(
+            placement.server, placement.stats, evidence, sent_at, self._clock()
+        )
 
     async def _exchange(
         self, call: SteeredCall, placement: Placement, request: ServerRequest
--- a/packages/daisylift-node/src/daisylift_node/version/fleet_view.py
+++ b/packages/daisylift-node/src/daisylift_node/version/fleet_view.py
@@ -1,5 +1,6 @@
 """The entry VM's current view of routes, backend servers, evacuations and members."""
 
+import math
 from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -34,6 +35,7 @@
     Listener,
     Replica,
 )
+from daisylift_node.version.server_paces import PaceReason, ServerPaces
 
 # Long, because the shorter watch of another kind already detects an unresponsive store.
 LONG_WATCH_SECONDS = 10.0
@@ -89,6 +91,7 @@
         self._cold_start_limiter = cold_start_limiter
         self.limit_shares = limit_shares
         self.limit_notices = LimitNotices()
+        self.paces = ServerPaces(cold_start_limiter)
         self._clock = clock
         self.watches_store: Callable[[], bool] = lambda: True
         self._entries_by_id: dict[str, _ServerEntry] = {}
@@ -187,6 +190,28 @@
             )
         }
 
+    def start_pace(
+        self,
+        server: RegisteredServer,
+        stats: ServerStats,
+        reason: PaceReason,
+        resumes_at: float = -math.inf,
+    ) -> None:
+        """Send the server less than its usual load until it responds in time."""
+        self.paces.start(
+            server,
+            stats,
+            reason,
+            self._cold_per_second(server.service),
+            self.member_names,
+            self._clock(),
+            resumes_at,
+        )
+
+    async def follow_paces(self) -> None:
+        """Log the servers that have reached their usual load."""
+        self.paces.follow(self._clock())
+
     def record_availability_change(
         self, server: RegisteredServer, availability: Availability
     ) -> None:
@@ -350,6 +375,7 @@
                 if entry.server.service == service and self._is_usable(entry)
             ),
             limit_shares=self.limit_shares,
+            paces=self.paces,
         )
 
     def _is_usable(self, entry: _ServerEntry) -> bool:
@@ -468,12 +494,20 @@
         is_same = entry is not None and (
             _incarnation(entry.server) == _incarnation(server)
         )
+        is_start = False
         if entry is None or not is_same:
             if entry is not None:
                 self._remove(entry)
+            previous = entry or self._removed_by_id.get(server.id)
             stats = ServerStats(
                 slots=server.slots, availability=self._availability_of(server)
             )
+            if previous is not None:
+                stats.pace = previous.stats.pace
+            is_start = self.servers.is_loaded and (
+                previous is None
+                or _incarnation(previous.server) != _incarnation(server)
+            )
             entry = _ServerEntry(server, stats, era=0)
             self._entries_by_id[server.id] = entry
             self._entries_by_incarnation[server.incarnation_id] = entry
@@ -484,9 +518,13 @@
         entry.era = self.servers.position.era
         entry.lapses_at = None
         self._removed_by_id.pop(server.id, None)
+        was_cold = entry.stats.is_cold(now)
         if server.cold_seconds > 0.0:
             cold_until = now + server.cold_seconds
             entry.stats.cold_until = max(entry.stats.cold_until, cold_until)
+        if is_start or (not was_cold and entry.stats.is_cold(now)):
+            reason = PaceReason.STARTED if is_start else PaceReason.COLD
+            self.start_pace(entry.server, entry.stats, reason)
         self._update_placer(entry)
 
     def _availability_of(self, server: RegisteredServer) -> Availability:
@@ -536,6 +574,7 @@
         if placer is not None:
             placer.remove(entry.server.id)
         self._cold_start_limiter.discard(entry.server.id)
+        self.paces.discard(entry.server)
         for callback in self._on_server_gone:
             callback(entry.server)
 
--- a/packages/daisylift/src/daisylift/decisions/cold_start.py
+++ b/packages/daisylift/src/daisylift/decisions/cold_start.py
@@ -47,11 +47,9 @@
         ``node_names`` are all nodes that share the limit. Callers must pass a new
         sequence object when the nodes change; changes are detected by identity.
         """
-        limit = per_second * self.limits.multiplier + self.limits.slack
-        share = SAFETY_SHARE * limit / max(len(node_names), 1)
-        if share < 1.0 and not self._is_selected(
-            server_id, node_names, SAFETY_SHARE * limit
-        ):
+        limit = self._safe_limit(per_second)
+        share = limit / max(len(node_names), 1)
+        if share < 1.0 and not self._is_selected(server_id, node_names, limit):
             return False
         sends = self._sends_by_id.get(server_id)
         if sends is None:
@@ -60,6 +58,21 @@
             sends.popleft()
         return len(sends) + 1 <= max(1.0, share)
 
+    def entering_nodes(
+        self, server_id: str, per_second: float, node_names: Sequence[str]
+    ) -> int:
+        """Return how many nodes may send to the cold server; 0 if this one may not."""
+        limit = self._safe_limit(per_second)
+        if limit >= len(node_names):
+            return len(node_names)
+        if not self._is_selected(server_id, node_names, limit):
+            return 0
+        return max(1, int(limit))
+
+    def _safe_limit(self, per_second: float) -> float:
+        limit = per_second * self.limits.multiplier + self.limits.slack
+        return SAFETY_SHARE * limit
+
     def _is_selected(
         self, server_id: str, node_names: Sequence[str], limit: float
     ) -> bool:
--- a/packages/daisylift/src/daisylift/decisions/placement.py
+++ b/packages/daisylift/src/daisylift/decisions/placement.py
@@ -11,19 +11,22 @@
 another region. Large responses come from the local failure domain first. Servers on
 the list are compared by cost in seconds: distance, wait for a slot, work (warm or
 cold), failure rate, and a transfer cost for responses that cross failure domains or
-regions.
+regions. A server that has just started or recovered gets the objects that its pace
+lets return (``server_pace``), and further ones only if no other server has capacity.
 """
 
 import random
 from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass
 from itertools import islice
+from typing import Protocol
 
 from daisylift.decisions.availability import Exclusion
 from daisylift.decisions.limit_shares import LimitShare, LimitShares
 from daisylift.decisions.ranking import Candidate, Location, Proximity, Rankings
 from daisylift.decisions.region_shift import PlacementScope
 from daisylift.decisions.region_stats import RegionStats
+from daisylift.decisions.server_pace import object_position
 from daisylift.decisions.server_stats import ServerStats
 from daisylift.models.registered_server import RegisteredServer
 
@@ -64,6 +67,30 @@
     region_stats: RegionStats
 
 
+class PacedServers(Protocol):
+    """The servers whose pace may bound what they are sent."""
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether there are none."""
+
+    def count_withheld(self, service: str) -> None:
+        """Count a placement that passed over a server because of its pace."""
+
+
+class _NoPacedServers:
+    @property
+    def is_empty(self) -> bool:
+        """Return True."""
+        return True
+
+    def count_withheld(self, service: str) -> None:
+        """Do nothing."""
+
+
+NO_PACED_SERVERS = _NoPacedServers()
+
+
 @dataclass(frozen=True, slots=True)
 class _LimitedRate:
     """The rate that servers with limits accept from this node, and its age."""
@@ -81,9 +108,11 @@
         candidates: Iterable[Candidate],
         rng: random.Random | None = None,
         limit_shares: LimitShares | None = None,
+        paces: PacedServers | None = None,
     ) -> None:
         self._location = location
         self._limit_shares = limit_shares or LimitShares('')
+        self._paces = paces or NO_PACED_SERVERS
         self._rng = rng or random.Random()
         self.candidates_by_id: dict[str, Candidate] = {}
         self.cold_by_id: dict[str, Candidate] = {}
@@ -126,13 +155,55 @@
         usable: Mapping[str, bool],
         now: float,
         scope: PlacementScope = PlacementScope.ANY,
+        has_waited: bool = False,
     ) -> Placement | None:
         """Return the server with the lowest cost that has capacity, or None.
 
         ``allowed`` names the regions that may serve; None means any. Servers that
         ``usable`` maps to False are skipped, and so are servers outside ``scope`` and
-        those whose request rate limit this node has used up.
+        those whose request rate limit this node has used up. ``has_waited`` is set for
+        a request that was placed before without success.
         """
+        can_use = self._filter(allowed, usable, now, scope)
+        if self._paces.is_empty:
+            return self._best(object_key, estimate, can_use, now)
+        withheld: list[Candidate] = []
+
+        def can_use_in_turn(candidate: Candidate) -> bool:
+            if not can_use(candidate):
+                return False
+            if candidate.stats.pace.is_full:
+                return True
+            position = self._position(candidate, object_key)
+            if self._bears_more(candidate, position, now, has_waited):
+                return True
+            withheld.append(candidate)
+            return False
+
+        placement = self._best(object_key, estimate, can_use_in_turn, now)
+        if not withheld:
+            return placement
+        self._paces.count_withheld(withheld[0].server.service)
+        for candidate in withheld:
+            candidate.stats.pace.withheld += 1
+        if placement is not None:
+            return placement
+
+        def can_use_early(candidate: Candidate) -> bool:
+            return can_use(candidate) and self._bears_more(
+                candidate, 0.0, now, has_waited
+            )
+
+        return self._best(object_key, estimate, can_use_early, now)
+
+    def _filter(
+        self,
+        allowed: Collection[str] | None,
+        usable: Mapping[str, bool],
+        now: float,
+        scope: PlacementScope,
+    ) -> Callable[[Candidate], bool]:
+        """Return whether a server may be used at all, whatever its pace."""
 
         def can_use(candidate: Candidate) -> bool:
             if allowed is not None and candidate.region not in allowed:
@@ -141,15 +212,25 @@
                 scope is PlacementScope.OTHER_REGION
             ):
                 return False
-            if not usable.get(candidate.server.id, True):
+            if usable and not usable.get(candidate.server.id, True):
                 return False
             if candidate.stats.is_excluded(now):
                 return False
             return self._is_within_limit(candidate, now)
 
+        return can_use
+
+    def _best(
+        self,
+        object_key: str | None,
+        estimate: WorkEstimate,
+        can_use: Callable[[Candidate], bool],
+        now: float,
+    ) -> Placement | None:
         if object_key is None:
-            return self._lowest_cost(self._sample(can_use), None, estimate, now)
-        listed = self._listed_candidates(object_key, estimate, can_use)
+            listed = self._sample(can_use)
+        else:
+            listed = self._listed_candidates(object_key, estimate, can_use)
         return self._lowest_cost(listed, object_key, estimate, now)
 
     def record_send(self, server_id: str, now: float) -> None:
@@ -208,6 +289,26 @@
             rate = (rate or 0.0) + self._limit_share(candidate, per_second).per_second
         return rate
 
+    def _position(self, candidate: Candidate, object_key: str | None) -> float:
+        """Return the position in the order of return to the server."""
+        if object_key is None:
+            return self._rng.random()
+        return object_position(object_key, candidate.server.id)
+
+    def _bears_more(
+        self, candidate: Candidate, position: float, now: float, has_waited: bool
+    ) -> bool:
+        """Return whether the pace of the server allows another request."""
+        stats = candidate.stats
+        return stats.pace.admits(
+            position,
+            stats.occupancy(now),
+            stats.in_flight,
+            stats.slots,
+            now,
+            has_waited,
+        )
+
     def _is_within_limit(self, candidate: Candidate, now: float) -> bool:
         per_second = candidate.stats.limit.per_second
         if per_second is None:
--- a/packages/daisylift/src/daisylift/decisions/server_stats.py
+++ b/packages/daisylift/src/daisylift/decisions/server_stats.py
@@ -12,6 +12,7 @@
 
 from daisylift.decisions.availability import Availability, Exclusion
 from daisylift.decisions.server_limits import ServerLimit
+from daisylift.decisions.server_pace import ServerPace
 
 SLOWDOWN_DECAY_SECONDS = 0.25  # reported figures change several times a second
 MAX_SLOWDOWN = 10.0
@@ -63,6 +64,7 @@
     is_displaced: bool = False
     limit: ServerLimit = field(default_factory=ServerLimit)
     availability: Availability = field(default_factory=Availability)
+    pace: ServerPace = field(default_factory=ServerPace)
     _slowdown: float = 1.0
     _slowdown_updated_at: float = -math.inf
     _others_load: float = 0.0
@@ -99,6 +101,11 @@
         length = work_seconds / decay
         return 1.0 + excess * -math.expm1(-length) / length if length else 1.0 + excess
 
+    @property
+    def is_unreachable(self) -> bool:
+        """Return whether the server has not responded since it was unreachable."""
+        return self._suspensions > 0
+
     def failure_rate(self, now: float) -> float:
         """Return the share of recent requests at the server that failed."""
         if not self._failure_rate:
@@ -116,7 +123,11 @@
 
     def is_excluded(self, now: float) -> bool:
         """Return whether no request may be sent to the server now."""
-        return self.exclusion(now) is not None
+        return (
+            now < self.suspended_until
+            or self.is_displaced
+            or self.availability.exclusion(now) is not None
+        )
 
     def is_cold(self, now: float) -> bool:
         """Return whether the server has started or come back recently."""
