Keep the time of a decision where it was

The pace put a wrapper around each candidate's check and one more call into each decision. Paces are looked at only while a server is watched, and a server without a request rate limit skips the call for it.

--- a/packages/daisylift/src/daisylift/decisions/placement.py
+++ b/packages/daisylift/src/daisylift/decisions/placement.py
@@ -165,8 +165,19 @@
         a request that was placed before without success.
         """
         can_use = self._filter(allowed, usable, now, scope)
-        if self._paces.is_empty:
-            return self._best(object_key, estimate, can_use, now)
+        if not self._paces.is_empty:
+            return self._choose_in_turn(object_key, estimate, can_use, now, has_waited)
+        return self._best(object_key, estimate, can_use, now)
+
+    def _choose_in_turn(
+        self,
+        object_key: str | None,
+        estimate: WorkEstimate,
+        can_use: Callable[[Candidate], bool],
+        now: float,
+        has_waited: bool,
+    ) -> Placement | None:
+        """Choose a server with regard to the paces of those that have returned."""
         withheld: list[Candidate] = []
 
         def can_use_in_turn(candidate: Candidate) -> bool:
@@ -196,6 +207,18 @@
 
         return self._best(object_key, estimate, can_use_early, now)
 
+    def _best(
+        self,
+        object_key: str | None,
+        estimate: WorkEstimate,
+        can_use: Callable[[Candidate], bool],
+        now: float,
+    ) -> Placement | None:
+        if object_key is None:
+            return self._lowest_cost(self._sample(can_use), None, estimate, now)
+        listed = self._listed_candidates(object_key, estimate, can_use)
+        return self._lowest_cost(listed, object_key, estimate, now)
+
     def _filter(
         self,
         allowed: Collection[str] | None,
@@ -204,35 +227,26 @@
         scope: PlacementScope,
     ) -> Callable[[Candidate], bool]:
         """Return whether a server may be used at all, whatever its pace."""
+        own_region = self._location.region
 
         def can_use(candidate: Candidate) -> bool:
             if allowed is not None and candidate.region not in allowed:
                 return False
-            if scope is not PlacementScope.ANY and self.is_other_region(candidate) != (
+            if scope is not PlacementScope.ANY and (candidate.region != own_region) != (
                 scope is PlacementScope.OTHER_REGION
             ):
                 return False
             if usable and not usable.get(candidate.server.id, True):
                 return False
-            if candidate.stats.is_excluded(now):
+            stats = candidate.stats
+            if stats.is_excluded(now):
                 return False
-            return self._is_within_limit(candidate, now)
+            return stats.limit.per_second is None or self._is_within_limit(
+                candidate, now
+            )
 
         return can_use
 
-    def _best(
-        self,
-        object_key: str | None,
-        estimate: WorkEstimate,
-        can_use: Callable[[Candidate], bool],
-        now: float,
-    ) -> Placement | None:
-        if object_key is None:
-            listed = self._sample(can_use)
-        else:
-            listed = self._listed_candidates(object_key, estimate, can_use)
-        return self._lowest_cost(listed, object_key, estimate, now)
-
     def record_send(self, server_id: str, now: float) -> None:
         """Count a request sent to the server against its request rate limit."""
         candidate = self.candidates_by_id.get(server_id)
