Place requests by how long work takes on a server's machine

A server on a shared machine takes 2.5 times as long for moments at a time, says so, and was placed as if it didn't; each such run made the server count as slow and the route's work as longer.

The expected run time is multiplied by the reported slowdown, which fades with age and run length; run times are divided by it before they count as the server's speed, the route's work or evidence of the pace.

--- a/packages/daisylift-node/src/daisylift_node/request/learning.py
+++ b/packages/daisylift-node/src/daisylift_node/request/learning.py
@@ -39,10 +39,9 @@
     stats.record_success(now)
     if metadata.load is not None and metadata.load.waiting:
         return  # the duration includes queueing, so it does not measure the work
-    warm = work.record_run(duration_seconds, len(response.body))
-    stats.record_response(
-        duration_seconds, work.warm_seconds if warm else work.cold_seconds
-    )
+    seconds = _usual_seconds(placement, duration_seconds, now)
+    warm = work.record_run(seconds, len(response.body))
+    stats.record_response(seconds, work.warm_seconds if warm else work.cold_seconds)
     if has_object:
         placement.region_stats.record_run(warm, placement.was_seen)
 
@@ -67,7 +66,13 @@
     usual = work.warm_seconds if placement.was_seen else work.cold_seconds
     if placement.stats.is_cold(now - duration_seconds):
         usual *= COLD_SLOWDOWN_FACTOR
-    return PaceEvidence(time_ratio=duration_seconds / usual)
+    seconds = _usual_seconds(placement, duration_seconds, now)
+    return PaceEvidence(time_ratio=seconds / usual)
+
+
+def _usual_seconds(placement: Placement, duration_seconds: float, now: float) -> float:
+    """Return how long the run would have taken at the usual speed of the machine."""
+    return duration_seconds / placement.stats.slowdown(duration_seconds, now)
 
 
 def learn_availability(
--- a/packages/daisylift/src/daisylift/decisions/placement.py
+++ b/packages/daisylift/src/daisylift/decisions/placement.py
@@ -400,6 +400,8 @@
                 continue
             work = warm * estimate.warm_seconds + (1.0 - warm) * estimate.cold_seconds
             work *= stats.slowness
+            if stats.has_slowdown:
+                work *= stats.slowdown(work, now)
             if stats.is_cold(now):
                 work *= COLD_SLOWDOWN_FACTOR
             distance = self._distance_seconds(candidate)
--- a/packages/daisylift/src/daisylift/decisions/server_stats.py
+++ b/packages/daisylift/src/daisylift/decisions/server_stats.py
@@ -92,7 +92,7 @@
 
         It is the average over the run of the last reported figure, which fades to 1.
         """
-        if self._slowdown == 1.0:
+        if not self.has_slowdown:
             return 1.0
         decay = SLOWDOWN_DECAY_SECONDS
         excess = (self._slowdown - 1.0) * math.exp(
@@ -101,6 +101,11 @@
         length = work_seconds / decay
         return 1.0 + excess * -math.expm1(-length) / length if length else 1.0 + excess
 
+    @property
+    def has_slowdown(self) -> bool:
+        """Return whether the last reported slowdown is not the usual one."""
+        return self._slowdown != 1.0
+
     @property
     def is_unreachable(self) -> bool:
         """Return whether the server has not responded since it was unreachable."""
