Keep connections to servers as long as the servers do

Cause, by a counter of reasons in a trial: with 298 servers a VM uses each every few seconds, and closed its connections after 4 s though the servers state 10 s in Keep-Alive; what may not be repeated takes none that was idle for over a second; and the first request to each server opens one.

A stated time holds, less a second, 30 s at most; 4 s without one, or if max_connections / VMs is below two. The rule for what may not be repeated stays: a lost order is worse than a connection.

New metric daisylift_server_connections_opened{reason}.

--- a/packages/daisylift-node/src/daisylift_node/process/entry_application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_application.py
@@ -130,7 +130,8 @@
         self.peers = PeerExchange(self.member, self.view, self._clock)
         memory_bytes = settings.limits.memory_mb * BYTES_PER_MB
         self.pool = ServerPool(
-            ResponseMemory(int(RESPONSE_MEMORY_SHARE * memory_bytes))
+            ResponseMemory(int(RESPONSE_MEMORY_SHARE * memory_bytes)),
+            self.view.connection_share,
         )
         self.view.on_server_gone(self.pool.remove_server)
         retry_limits = RetryLimits(
@@ -385,6 +386,7 @@
             self.metrics.set_unreadable(kind, self.view.unreadable_count(kind))
         self.metrics.set_store_era(self.store.era)
         self.metrics.set_excluded_servers(self.view.exclusions())
+        self.metrics.set_connections_opened(self.pool.opened_by_reason)
         paces = self.view.paces
         self.metrics.set_paces(paces.counts(), paces.withheld_by_service)
         for service, queue in self.steering.queues_by_service.items():
--- a/packages/daisylift-node/src/daisylift_node/process/entry_metrics.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_metrics.py
@@ -101,6 +101,12 @@
             ('service',),
             registry=self.registry,
         )
+        self._connections_opened = Gauge(
+            'daisylift_server_connections_opened',
+            'Connections to servers opened so far, by why none was reused.',
+            ('reason',),
+            registry=self.registry,
+        )
         self._timer_failures = Counter(
             'daisylift_timer_failures',
             'Periodic calls that ended with an unexpected error.',
@@ -173,6 +179,11 @@
         for service, count in withheld.items():
             self._pace_withheld.labels(service).set(count)
 
+    def set_connections_opened(self, counts: Mapping[str, int]) -> None:
+        """Set the number of opened connections to servers, by reason."""
+        for reason, count in counts.items():
+            self._connections_opened.labels(reason).set(count)
+
     def set_lines_dropped(self, count: int) -> None:
         """Set the number of dropped log lines."""
         self._lines_dropped.set(count)
--- a/packages/daisylift-node/src/daisylift_node/version/fleet_view.py
+++ b/packages/daisylift-node/src/daisylift_node/version/fleet_view.py
@@ -190,6 +190,15 @@
             )
         }
 
+    def connection_share(self, service: str) -> float:
+        """Return how many connections to each of its servers this VM may keep."""
+        config = (
+            self.routes.state.services_by_name.get(service) if self.routes else None
+        )
+        if config is None or config.max_connections <= 0:
+            return math.inf
+        return config.max_connections / self.node_count
+
     def start_pace(
         self,
         server: RegisteredServer,
