--- a/packages/daisylift-node/src/daisylift_node/process/entry_application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_application.py
@@ -71,6 +71,7 @@
 WAKE_PERIOD_SECONDS = 0.05  # waiters notice slots freed elsewhere within this time
 EXPIRE_LAPSED_PERIOD_SECONDS = 0.2
 EXPIRE_HELD_PERIOD_SECONDS = 0.5
+FOLLOW_PACES_PERIOD_SECONDS = 0.5
 LOG_FLUSH_PERIOD_SECONDS = 0.2
 CLOSE_IDLE_PERIOD_SECONDS = 1.0
 CLOSE_STALLED_PERIOD_SECONDS = 1.0
@@ -138,6 +139,7 @@
             watch_seconds(bounds.stability_window_ms / MS_PER_SECOND),
             rewrite_seconds(settings.store.heartbeat_ms / MS_PER_SECOND),
         )
+        self.view.paces.mode = settings.pace.servers
         self.member = EntryMember(
             name=vm.id,
             incarnation=int(time.time() * INCARNATIONS_PER_SECOND),
@@ -152,7 +154,8 @@
         self.peers = PeerExchange(self.member, self.view, self._clock)
         memory_bytes = settings.limits.memory_mb * BYTES_PER_MB
         self.pool = ServerPool(
-            ResponseMemory(int(RESPONSE_MEMORY_SHARE * memory_bytes))
+            ResponseMemory(int(RESPONSE_MEMORY_SHARE * memory_bytes)),
+            self.view.connection_share,
         )
         self.view.on_server_gone(self.pool.remove_server)
         retry_limits = RetryLimits(
@@ -219,6 +222,7 @@
         self.timer.subscribe(IDLE_PERIOD_SECONDS, self.usage.discard_idle)
         self.timer.subscribe(EXPIRE_LAPSED_PERIOD_SECONDS, self.view.expire_lapsed)
         self.timer.subscribe(EXPIRE_HELD_PERIOD_SECONDS, self.view.expire_held)
+        self.timer.subscribe(FOLLOW_PACES_PERIOD_SECONDS, self.view.follow_paces)
         self.timer.subscribe(CLOSE_IDLE_PERIOD_SECONDS, self.pool.close_idle)
         self.timer.subscribe(CLOSE_STALLED_PERIOD_SECONDS, self._close_stalled)
         self.timer.subscribe(REMOVE_LOST_PERIOD_SECONDS, self._remove_lost)
@@ -514,6 +518,9 @@
         )
         self.metrics.set_usage_tokens(self.usage.most_moved())
         self.metrics.set_excluded_servers(self.view.exclusions())
+        self.metrics.set_connections_opened(self.pool.opened_by_reason)
+        paces = self.view.paces
+        self.metrics.set_paces(paces.counts(), paces.withheld_by_service)
         for service, queue in self.steering.queues_by_service.items():
             self.metrics.set_waiting(service, len(queue.waiters))
         return web.Response(body=self.metrics.exposition(), content_type='text/plain')
--- a/packages/daisylift-node/src/daisylift_node/process/entry_metrics.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_metrics.py
@@ -138,6 +138,24 @@
             ('tenant', 'direction'),
             registry=self.registry,
         )
+        self._paced_servers = Gauge(
+            'daisylift_paced_servers',
+            'Servers that are watched since they started or recovered.',
+            ('service',),
+            registry=self.registry,
+        )
+        self._pace_withheld = Gauge(
+            'daisylift_pace_withheld_placements',
+            'Placements so far that passed over a server because of its pace.',
+            ('service',),
+            registry=self.registry,
+        )
+        self._connections_opened = Gauge(
+            'daisylift_server_connections_opened',
+            'Connections to servers opened so far, by why none was reused.',
+            ('reason',),
+            registry=self.registry,
+        )
         self._timer_failures = Counter(
             'daisylift_timer_failures',
             'Periodic calls that ended with an unexpected error.',
@@ -228,6 +246,19 @@
         share = report.worst_served_share
         self._worst_served_share.set(1.0 if share is None else share)
 
+    def set_paces(self, paced: Mapping[str, int], withheld: Mapping[str, int]) -> None:
+        """Set the servers below their usual load, and the placements withheld."""
+        self._paced_servers.clear()
+        for service, count in paced.items():
+            self._paced_servers.labels(service).set(count)
+        for service, count in withheld.items():
+            self._pace_withheld.labels(service).set(count)
+
+    def set_connections_opened(self, counts: Mapping[str, int]) -> None:
+        """Set the number of opened connections to servers, by reason."""
+        for reason, count in counts.items():
+            self._connections_opened.labels(reason).set(count)
+
     def set_lines_dropped(self, count: int) -> None:
         """Set the number of dropped log lines."""
         self._lines_dropped.set(count)
--- a/packages/daisylift-node/src/daisylift_node/request/placement_report.py
+++ b/packages/daisylift-node/src/daisylift_node/request/placement_report.py
@@ -1,7 +1,7 @@
 """Reports where this VM would send a request now, and why, without sending it.
 
-Nothing is counted, taken or sent for a report. It shows what this VM knows at this
-moment; another VM may know something else.
+Nothing is sent for a report, and no slot or token is taken. It shows what this VM knows
+at this moment; another VM may know something else.
 """
 
 from collections.abc import Callable, Mapping
@@ -168,6 +168,8 @@
             'load_age_seconds': _rounded(stats.load_age_seconds(now)),
             'slowness': _rounded(stats.slowness),
             'failure_rate': _rounded(stats.failure_rate(now)),
+            'slowdown': _rounded(stats.slowdown(estimate.warm_seconds, now)),
+            'pace': _rounded(stats.pace.share(now)),
             'cold': stats.is_cold(now),
             'seen': object_key is not None and stats.has_seen(object_key),
         }
