--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -13,6 +13,9 @@
 import aiohttp
 
 from soak.ledger import (
+    CAP_BURST,
+    CAP_PER_SECOND,
+    CAPPED_TENANT,
     ConfirmedChange,
     DesiredStateVersion,
     Disturbance,
@@ -62,6 +65,12 @@
     return f'key-{version}'
 
 
+def _cap_of(tenant: str) -> dict[str, float]:
+    if tenant != CAPPED_TENANT:
+        return {}
+    return {'requests_per_s': CAP_PER_SECOND, 'burst': CAP_BURST}
+
+
 class SoakError(Exception):
     """Raised when the soak itself cannot continue."""
 
@@ -203,7 +212,7 @@
         held = (number - 1, number) if self.has_tenants else ()
         tenant_by_key = {key_of(n): f'tenant-{n % 2}' for n in held}
         tenants = [
-            {'name': name, 'keys': [key], 'priority': 1}
+            {'name': name, 'keys': [key], 'priority': 1, **_cap_of(name)}
             for key, name in tenant_by_key.items()
         ]
         document = make_desired_state(number, *rules, tenants=tenants)
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -33,6 +33,13 @@
 NO_ROUTE_STATUS = 404
 NO_TENANT_STATUS = 401
 
+STATUS_CAPPED = 429
+CAPPED_TENANT = 'tenant-1'
+CAP_PER_SECOND = 30.0
+CAP_BURST = 10.0
+CAP_WINDOW_SECONDS = 5.0
+MOST_OF_CAPPED = (CAP_PER_SECOND * CAP_WINDOW_SECONDS + CAP_BURST) * 1.1 + 20.0
+
 
 @dataclass(frozen=True, slots=True)
 class Finding:
@@ -199,6 +206,7 @@
         found += [Finding('no error', text) for text in self.errors]
         found += self._check_rollbacks()
         found += self._check_limits()
+        found += self._check_usage_cap()
         found += self._check_leaving_answers()
         found += self._check_pauses()
         found += self._check_recovery()
@@ -377,6 +385,25 @@
                     yield Finding('limit of a server', text)
                     break
 
+    def _check_usage_cap(self) -> Iterator[Finding]:
+        """Find a window in which more requests of the capped tenant were run.
+
+        Counted are requests that were sent and reached a server inside the window. It
+        binds at all times, whichever VMs are disturbed.
+        """
+        runs = sorted(
+            (run.at, outcome.sent_at)
+            for outcome in self.outcomes
+            for run in self.runs_by_id[outcome.request_id]
+            if run.tenants == (CAPPED_TENANT,)
+        )
+        for index, (at, _) in enumerate(runs):
+            since = at - CAP_WINDOW_SECONDS
+            count = sum(sent_at >= since for _, sent_at in runs[: index + 1])
+            if count > MOST_OF_CAPPED:
+                yield Finding('usage cap', f'{count} requests in 5 s until {at:.2f}')
+                return
+
     def _limit_violation(self, span: LimitSpan, counted: list[float]) -> str | None:
         at = counted[-1]
         if at < span.changes[0][0] + STABILITY_WINDOW_SECONDS:
@@ -471,6 +498,7 @@
             each
             for each in self.outcomes
             if each.sent_at >= self.calm_since
+            and each.status != STATUS_CAPPED
             and not (self.versions and self.versions[-1].tenants(each.key) is None)
         ]
         served = sum(each.status == 200 for each in late)
--- a/tests/test_soak_ledger.py
+++ b/tests/test_soak_ledger.py
@@ -5,6 +5,7 @@
 import pytest
 
 from soak.ledger import (
+    CAPPED_TENANT,
     CONFIG_LIMIT_SECONDS,
     DRAIN_LIMIT_SECONDS,
     EVACUATION_LIMIT_SECONDS,
@@ -346,3 +347,19 @@
 ) -> None:
     ledger = with_keys(an_outcome(at=at, key=key, status=401))
     assert violated_guarantees(ledger) == guarantees
+
+
+@pytest.mark.parametrize(('count', 'guarantees'), [(190, set()), (200, {'usage cap'})])
+def test_more_runs_of_a_capped_tenant_than_allowed_are_found(
+    count: int, guarantees: set[str]
+) -> None:
+    """Those that were sent before the window don't count."""
+    outcomes, runs = [], []
+    for number in range(count + 50):
+        sent_at = 1.0 if number < 50 else 6.5
+        name = f'r-{number}'
+        outcomes.append(replace(an_outcome(at=sent_at), request_id=name, key='k-1'))
+        runs.append(replace(a_run(at=6.6), request_id=name, tenants=(CAPPED_TENANT,)))
+    ledger = a_ledger(outcomes[0], *runs)
+    ledger.outcomes[:] = outcomes
+    assert {each.guarantee for each in ledger._check_usage_cap()} == guarantees
