--- a/packages/daisylift/src/daisylift/decisions/usage_grants.py
+++ b/packages/daisylift/src/daisylift/decisions/usage_grants.py
@@ -41,6 +41,7 @@
 MAX_RINGS = 16  # kept while parts may not move
 DEMAND_SECONDS = 0.4  # time constant of the average demand
 IDLE_SECONDS = 30.0  # then the state of a tenant is dropped
+MIN_RETRY_AFTER_SECONDS = 0.05  # coming back in the same moment gains nothing
 MAX_RETRY_AFTER_SECONDS = 5.0
 MAX_COUNT = 0xFFFF  # tokens in one message
 ASK_ID_BITS = 32
@@ -322,7 +323,7 @@
         per_second = max(state.taken.at(now), 1.0 / MAX_RETRY_AFTER_SECONDS)
         earliest = max(now + first, state.promised_at + 1.0 / per_second)
         state.promised_at = min(earliest, now + MAX_RETRY_AFTER_SECONDS)
-        return state.promised_at - now
+        return max(MIN_RETRY_AFTER_SECONDS, state.promised_at - now)
 
     def describe(self, tenant: str, now: float) -> dict[str, float]:
         """Return what a log line tells of the cap and of this VM's part."""
--- a/tests/test_usage_start.py
+++ b/tests/test_usage_start.py
@@ -3,7 +3,11 @@
 import random
 
 from daisylift.decisions.usage_caps import UsageBounds
-from daisylift.decisions.usage_grants import STARTING_RETRY_SECONDS, UsageGrants
+from daisylift.decisions.usage_grants import (
+    MIN_RETRY_AFTER_SECONDS,
+    STARTING_RETRY_SECONDS,
+    UsageGrants,
+)
 
 MEMBERS = {'vm-1': 'arusha', 'vm-2': 'arusha'}
 PER_SECOND, BURST = 20.0, 20.0
@@ -31,3 +35,13 @@
     grants.set_members({**MEMBERS, 'vm-3': 'arusha'}, 0.5)
     moments = [0.5 + step / 100 for step in range(250)]
     assert all(grants.take('acme', PER_SECOND, BURST, at) is None for at in moments)
+
+
+def test_a_refused_caller_is_not_told_to_come_back_at_once() -> None:
+    """A token that arrives as the wait ends made the time 0.000 on the wire."""
+    grants = UsageGrants('vm-1', UsageBounds(), 0.0, random.Random(1))
+    grants.set_members({'vm-1': 'arusha'}, 0.0)
+    while grants.take('acme', PER_SECOND, BURST, 10.0) is not None:
+        pass
+    token_at = 10.0 + 1.0 / PER_SECOND
+    assert grants.retry_after('acme', token_at + 0.001) >= MIN_RETRY_AFTER_SECONDS
