--- a/packages/daisylift-node/src/daisylift_node/connection/server_pool.py
+++ b/packages/daisylift-node/src/daisylift_node/connection/server_pool.py
@@ -98,7 +98,8 @@
         connection = self._take_idle(key, repeatable)
         kept = self._kept_by_key[key]
         if connection is None:
-            connection = await self._open(server, kept.missing)
+            connection = await self._open(server)
+            self.opened_by_reason[kept.missing] += 1
             kept.missing = OpenReason.IN_USE
         if not may_send():
             connection.close()
@@ -167,9 +168,7 @@
             connection.close()
         return None
 
-    async def _open(
-        self, server: RegisteredServer, reason: OpenReason
-    ) -> ServerConnection:
+    async def _open(self, server: RegisteredServer) -> ServerConnection:
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
@@ -183,5 +182,4 @@
         except (OSError, OverflowError, ValueError) as error:
             # Hosts and ports that cannot be used raise other errors than OSError.
             raise NotSentError(f'connecting failed: {error}') from error
-        self.opened_by_reason[reason] += 1
         return connection
