Start nothing early while the queue of requests is refilled

What callers saw: of more than 32 pipelined requests, one behind an order (unsafe, without a body) could run at a server before the order had ended.

Cause: the HTTP library takes a request from its full queue, parses what it held back by data_received(b'') and only then hands the request over. In between it is neither queued nor current, so the next one in the queue was taken for the current one, and those behind it were started.

Of asyncio no empty data arrives, and begin() looks at the whole queue right after a refill, so that early starts are put off by one call, not lost. tests/test_pipelining.py, test_planned_stops.py and test_entry_stop_requests.py pass (22).

--- a/packages/daisylift-node/src/daisylift_node/connection/pipelined_connection.py
+++ b/packages/daisylift-node/src/daisylift_node/connection/pipelined_connection.py
@@ -106,6 +106,8 @@
         now = self._clock()
         for message, _ in self._messages:
             self._arrived_at_by_key.setdefault(id(message), now)
+        if not data:
+            return  # a refill of the queue: the request taken from it has not begun
         self._start_early()
 
     def connection_lost(self, error: BaseException | None) -> None:
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -139,6 +139,38 @@
     assert server.most_running == 1
 
 
+async def test_requests_behind_an_order_wait_when_the_full_queue_is_refilled() -> None:
+    """The library refills its queue while the next request has left it already."""
+    server = _Server()
+    count = 60  # more than the queue holds
+    finished: list[str] = []
+    early: list[tuple[str, str]] = []
+
+    async def respond(request: WireRequest) -> None:
+        path = request.line.split()[1]
+        order = f'/o/{int(path[3:]) // 3 * 3}'
+        if path != order and order not in finished:
+            early.append((order, path))
+        await _Server.respond(server, request)
+        finished.append(path)
+
+    server.respond = respond  # type: ignore[method-assign]
+    paths = [f'/x/{each}' if each % 3 else f'/o/{each}' for each in range(count)]
+    server.seconds_by_path = dict.fromkeys(paths, 0.02)
+    async with _running(server) as (_, reader, writer):
+        writer.write(
+            b''.join(
+                _request(path, 'POST', 'Content-Length: 0\r\n')
+                if path.startswith('/o/')
+                else _request(path)
+                for path in paths
+            )
+        )
+        bodies = [(await _read(reader))[1].decode() for _ in paths]
+    assert bodies == paths
+    assert early == []
+
+
 async def test_a_stop_answers_what_was_read_and_closes_behind_the_last_response() -> (
     None
 ):
