Cancel an early request whose caller leaves as its turn comes

Cause: begin() takes an early request out of those that a lost connection cancels; its response is awaited one turn of the event loop later. If the connection is lost in between, the library cancels the waiting task before it starts, so nobody cancels or releases the early request.

What it led to: the request goes on at the server for a caller that has left, and counts, with the bytes of its response, for as long as the process lives. After 512 of them, or 5% of the memory, the VM runs nothing early any more.

Evidence: the new test aborts the connection in begin(); before, the request is still counted when the test gives up waiting.

--- a/packages/daisylift-node/src/daisylift_node/connection/pipelined_connection.py
+++ b/packages/daisylift-node/src/daisylift_node/connection/pipelined_connection.py
@@ -98,6 +98,7 @@
         self._current: QueuedRequest | None = None
         self._arrived_at_by_key: dict[int, float] = {}
         self._early_by_key: dict[int, EarlyRun] = {}
+        self._current_early: EarlyRun | None = None
         self._write_progress: tuple[int, float] | None = None
 
     def data_received(self, data: bytes) -> None:
@@ -124,7 +125,7 @@
         """Prepare a request whose turn has come."""
         key = id(request._message)
         request.arrived_at = self._arrived_at_by_key.pop(key, self._clock())
-        request.early = self._early_by_key.pop(key, None)
+        request.early = self._current_early = self._early_by_key.pop(key, None)
         self._current = self._describe(request._message, request.content)
         self._start_early()
 
@@ -138,6 +139,7 @@
                 response = await early.task
             finally:
                 early.release()
+                self._current_early = None
         if self._handler.is_stopping and not has_queued_requests(request):
             response.force_close()
         return response
@@ -224,6 +226,8 @@
         for run in self._early_by_key.values():
             run.cancel()
         self._early_by_key.clear()
+        if self._current_early is not None:
+            self._current_early.cancel()  # its response may not be awaited yet
 
 
 def _body_bytes(response: web.StreamResponse) -> int:
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -12,6 +12,10 @@
     QueuedRequest,
     count_startable,
 )
+from daisylift_node.connection.pipelined_connection import (
+    EntryRequest,
+    PipelinedConnection,
+)
 from tests.entry_harness import HOST, EntryHarness, make_registration, make_rule
 from tests.fakes.wire import WireRequest, WireServer, wait_until
 
@@ -222,6 +226,27 @@
     assert early.waiting_bytes == 0
 
 
+async def test_a_caller_that_leaves_as_its_next_request_begins_holds_no_early_ones(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The request has left the queue then, and nobody waits for its response yet."""
+    begin = PipelinedConnection.begin
+
+    def begin_and_leave(self: PipelinedConnection, request: EntryRequest) -> None:
+        begin(self, request)
+        if request.path == '/x/1' and self.transport is not None:
+            self.transport.abort()
+
+    monkeypatch.setattr(PipelinedConnection, 'begin', begin_and_leave)
+    server = _Server()
+    server.seconds_by_path = {'/x/0': 0.1, '/x/1': 5.0}
+    async with _running(server) as (harness, reader, writer):
+        writer.write(_request('/x/0') + _request('/x/1'))
+        await _read(reader)
+        early = harness.application._early_requests
+        await wait_until(lambda: early.requests == 0 and server.running == 0)
+
+
 async def test_bytes_of_a_response_that_is_not_read_count_and_then_are_cut_off(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
