Stop confirming copies while the own watch has missed a change

Cause: a VM that watches the store confirms all copies at its position while its watch is open. If the connection is dead without an error, and a peer's copy brings a change that the watch should have told, the VM takes the change and goes on confirming, now at the newer position, until the watch is given up. VMs that rely on it then hear nothing of the next change and do not ask, although the VM has the proof that it is deaf.

A watch that was only late confirms again with its own answer, so no call of the store is added unless that answer was overtaken.

Weighed: to begin the watch anew at once; it costs a call for each change that a peer told 0.3 s earlier, on a slow store. The length of the watches bounds the delay either way; this ends the false confirmations.

--- a/packages/daisylift-node/src/daisylift_node/version/replica.py
+++ b/packages/daisylift-node/src/daisylift_node/version/replica.py
@@ -287,6 +287,8 @@
             else:
                 self.documents_by_name[name] = change.document
         self.position = batch.position
+        if names and self._watch is not None:
+            self._is_following = False  # the change is a peer's: the watch missed it
         if names:
             self.last_change = batch.position
             self._listener(names)
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -517,3 +517,17 @@
         followed.replica.refresh()
         await asyncio.sleep(0.1)
         assert followed.replica.age_seconds() >= 0.1
+
+
+async def test_replica_confirms_nothing_while_its_watch_has_missed_a_change(
+    store: MemoryStore,
+) -> None:
+    """Its connection may be dead without an error; a peer had the change before."""
+    async with Followed(store) as followed:
+        await asyncio.sleep(0.1)
+        store.drops_changes = True
+        replica = followed.replica
+        change = DocumentChange(make_document('i-1', 2), deleted=False)
+        assert replica.apply_changes(DocumentChanges(2, (change,)), replica.position)
+        await asyncio.sleep(0.1)
+        assert replica.age_seconds() >= 0.1
