Confirm no copy from before a suspension of the VM

Cause: a VM that has stood still began its watches anew by refresh(), which does nothing within 0.5 s of an earlier refresh or between two watches. In a suspension the event loop's clock stands still as well: the pause isn't over, and the copy's age is as small as before it. The VM told its peers then that its copy was complete a moment ago; one that relies on peers waited for up to 1.6 s more with a copy that was minutes old.

No test covered _check_if_frozen(). The new one moves the clock that counts suspensions on by 60 s while the replicas are within the pause: before, the ages of the copies were 0.0 s; now 59 s and more.

The watches are now cancelled whatever was before, and the age grows by the time that the loop's clock does not count. A process that was only stopped gets no more than before, as its clock went on, so that stalls of a busy machine cost no further calls of the store.

--- a/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
+++ b/packages/daisylift-node/src/daisylift_node/process/peer_exchange.py
@@ -100,7 +100,7 @@
         self._members_at: Position | None = None
         self._is_watching: bool | None = None
         self._role_at = 0.0
-        self._sent_at = _time_with_suspension()
+        self._sent_at = (_time_with_suspension(), clock())
         self.receive_usage: Callable[[bytes, tuple[str, int]], None] | None = None
         view.watches_store = self.watches_store
 
@@ -204,15 +204,17 @@
 
         Until the store answers them, this VM does not confirm the copies of its peers.
         """
-        previous, self._sent_at = self._sent_at, _time_with_suspension()
-        seconds = self._sent_at - previous
+        now = self._clock()
+        previous, self._sent_at = self._sent_at, (_time_with_suspension(), now)
+        seconds = self._sent_at[0] - previous[0]
+        suspended_seconds = max(0.0, seconds - (now - previous[1]))
         if seconds < FROZEN_SECONDS:
             return
         logger.bind(seconds=round(seconds, 2)).warning(
             'this VM stood still: beginning its watches of the store anew'
         )
         for replica in self._view.replicas_by_kind.values():
-            replica.refresh()
+            replica.stood_still(suspended_seconds)
 
     async def send_limits(self) -> None:
         """Send the request rate limits that servers have named to some peers."""
--- a/packages/daisylift-node/src/daisylift_node/version/replica.py
+++ b/packages/daisylift-node/src/daisylift_node/version/replica.py
@@ -151,6 +151,16 @@
         if self._watch is not None:
             self._watch.cancel()
 
+    def stood_still(self, suspended_seconds: float) -> None:
+        """Confirm nothing until the store answers, because this VM has stood still.
+
+        ``suspended_seconds`` are those that the event loop's time does not count.
+        """
+        self._is_following = False
+        self._age.add(suspended_seconds)
+        if self._watch is not None:
+            self._watch.cancel()
+
     async def follow(self) -> None:
         """Keep the replica up to date until cancelled."""
         pause = INITIAL_PAUSE_SECONDS
--- a/packages/daisylift/src/daisylift/decisions/copy_age.py
+++ b/packages/daisylift/src/daisylift/decisions/copy_age.py
@@ -34,6 +34,10 @@
         """Record that the copy was complete ``age_seconds`` ago."""
         self._complete_at = max(self._complete_at, now - age_seconds)
 
+    def add(self, seconds: float) -> None:
+        """Add time in which the clock of ``now`` stood still."""
+        self._complete_at -= seconds
+
     def seconds(self, now: float) -> float:
         """Return the age in seconds, infinite if the copy was never confirmed."""
         return now - self._complete_at
--- a/tests/test_peer_copies.py
+++ b/tests/test_peer_copies.py
@@ -90,3 +90,20 @@
             peers.datagram_received(b'x', ('127.0.0.1', 9))
     assert logs.first('copy of a peer not applied')['kind'] == 'servers'
     assert logs.first('gossip datagram not applied')['peer'] == '127.0.0.1'
+
+
+async def test_a_vm_that_stood_still_confirms_no_copy_until_the_store_answers(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its open watches may be ones that nobody answers, however new they are."""
+    async with EntryHarness() as harness:
+        await harness.configure(1, make_rule('/x/', 'catalogue'))
+        view = harness.application.view
+        replicas = list(view.replicas_by_kind.values())
+        await wait_until(lambda: all(each.age_seconds() == 0.0 for each in replicas))
+        for replica in replicas:
+            replica._refreshed_at = asyncio.get_running_loop().time()
+        resumed_at = peer_exchange._time_with_suspension() + 60.0
+        monkeypatch.setattr(peer_exchange, '_time_with_suspension', lambda: resumed_at)
+        await harness.application.peers.send_gossip()
+        assert min(each.age_seconds() for each in replicas) >= 59.0
