Test a wait for a slot that began before the planned stop

The same test now runs for both orders. With the line taken out the new case fails (refused after 2.47 s instead of 1.5 s); with it both pass. The order that was tested is unchanged.

--- a/tests/test_entry_stop_requests.py
+++ b/tests/test_entry_stop_requests.py
@@ -147,17 +147,23 @@
     assert len(server.requests) == 1
 
 
-async def test_a_request_that_waits_for_a_slot_is_refused_when_the_last_pass_ends() -> (
-    None
-):
+@pytest.mark.parametrize('waits_before', [False, True])
+async def test_a_request_that_waits_for_a_slot_is_refused_when_the_last_pass_ends(
+    waits_before: bool,
+) -> None:
     """The server's only slot is taken until after the end of the process."""
     async with a_stopping_vm(2 * GRACE_SECONDS, slots=1) as (harness, server):
         first = await connect(harness)
         first[1].write(head(1))
         await asyncio.sleep(0.05)
+        if waits_before:
+            reader, writer = await connect(harness)
+            writer.write(head(2))
+            await asyncio.sleep(0.05)
         stopping = asyncio.create_task(stop(harness))
-        reader, writer = await connect(harness)
-        writer.write(head(2))
+        if not waits_before:
+            reader, writer = await connect(harness)
+            writer.write(head(2))
         clock = asyncio.get_running_loop().time
         started = clock()
         answer = await reader.read()
