--- a/packages/daisylift-node/src/daisylift_node/version/replica.py
+++ b/packages/daisylift-node/src/daisylift_node/version/replica.py
@@ -151,6 +151,16 @@
         if self._watch is not None:
             self._watch.cancel()
 
+    def stood_still(self, suspended_seconds: float) -> None:
+        """Confirm nothing until the store answers, because this VM has stood still.
+
+        ``suspended_seconds`` are those that the event loop's time does not count.
+        """
+        self._is_following = False
+        self._age.add(suspended_seconds)
+        if self._watch is not None:
+            self._watch.cancel()
+
     async def follow(self) -> None:
         """Keep the replica up to date until cancelled."""
         pause = INITIAL_PAUSE_SECONDS
@@ -287,6 +297,8 @@
             else:
                 self.documents_by_name[name] = change.document
         self.position = batch.position
+        if names and self._watch is not None:
+            self._is_following = False  # the change is a peer's: the watch missed it
         if names:
             self.last_change = batch.position
             self._listener(names)
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -12,6 +12,10 @@
     QueuedRequest,
     count_startable,
 )
+from daisylift_node.connection.pipelined_connection import (
+    EntryRequest,
+    PipelinedConnection,
+)
 from tests.entry_harness import HOST, EntryHarness, make_registration, make_rule
 from tests.fakes.wire import WireRequest, WireServer, wait_until
 
@@ -139,6 +143,38 @@
     assert server.most_running == 1
 
 
+async def test_requests_behind_an_order_wait_when_the_full_queue_is_refilled() -> None:
+    """The library refills its queue while the next request has left it already."""
+    server = _Server()
+    count = 60  # more than the queue holds
+    finished: list[str] = []
+    early: list[tuple[str, str]] = []
+
+    async def respond(request: WireRequest) -> None:
+        path = request.line.split()[1]
+        order = f'/o/{int(path[3:]) // 3 * 3}'
+        if path != order and order not in finished:
+            early.append((order, path))
+        await _Server.respond(server, request)
+        finished.append(path)
+
+    server.respond = respond  # type: ignore[method-assign]
+    paths = [f'/x/{each}' if each % 3 else f'/o/{each}' for each in range(count)]
+    server.seconds_by_path = dict.fromkeys(paths, 0.02)
+    async with _running(server) as (_, reader, writer):
+        writer.write(
+            b''.join(
+                _request(path, 'POST', 'Content-Length: 0\r\n')
+                if path.startswith('/o/')
+                else _request(path)
+                for path in paths
+            )
+        )
+        bodies = [(await _read(reader))[1].decode() for _ in paths]
+    assert bodies == paths
+    assert early == []
+
+
 async def test_a_stop_answers_what_was_read_and_closes_behind_the_last_response() -> (
     None
 ):
@@ -190,6 +226,27 @@
     assert early.waiting_bytes == 0
 
 
+async def test_a_caller_that_leaves_as_its_next_request_begins_holds_no_early_ones(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The request has left the queue then, and nobody waits for its response yet."""
+    begin = PipelinedConnection.begin
+
+    def begin_and_leave(self: PipelinedConnection, request: EntryRequest) -> None:
+        begin(self, request)
+        if request.path == '/x/1' and self.transport is not None:
+            self.transport.abort()
+
+    monkeypatch.setattr(PipelinedConnection, 'begin', begin_and_leave)
+    server = _Server()
+    server.seconds_by_path = {'/x/0': 0.1, '/x/1': 5.0}
+    async with _running(server) as (harness, reader, writer):
+        writer.write(_request('/x/0') + _request('/x/1'))
+        await _read(reader)
+        early = harness.application._early_requests
+        await wait_until(lambda: early.requests == 0 and server.running == 0)
+
+
 async def test_bytes_of_a_response_that_is_not_read_count_and_then_are_cut_off(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
