Find the libraries of the build in a start without site-packages

With -S the libraries come from the variable PYTHONPATH alone; where the platform puts target/deps on the path in another way, a VM would end at its start.

Before, in a clean environment: ModuleNotFoundError: No module named 'uvloop', exit status 1; tests/test_entry_start.py failed so. Now deploy/entry.py appends target/deps of its own checkout, behind whatever the path holds: the start gets as far as its settings (status 3).

--- a/deploy/entry.py
+++ b/deploy/entry.py
@@ -15,6 +15,8 @@
 CHECKOUT = Path(__file__).resolve().parents[1]
 for package in ('daisylift', 'daisylift-node'):
     sys.path.insert(0, str(CHECKOUT / 'packages' / package / 'src'))
+# Started with -S, Python adds no site-packages; the platform may leave this path out.
+sys.path.append(str(CHECKOUT / 'target' / 'deps'))
 
 from daisylift_node.entry_core import run  # noqa: E402
 
--- a/tests/test_entry_start.py
+++ b/tests/test_entry_start.py
@@ -1,6 +1,7 @@
 """Tests of the start of an entry VM as a real process."""
 
 import asyncio
+import shutil
 import signal
 import socket
 import sys
@@ -8,6 +9,8 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 
+import aiohttp
+
 from daisylift_node.status import ExitStatus
 from soak.fleet import GRACE_SECONDS, EntryVm, Fleet
 from tests.fakes.loopback import (
@@ -20,6 +23,7 @@
 from tests.utils import wait_until
 
 PROGRAM = Path(__file__).resolve().parents[1] / 'deploy' / 'entry.py'
+LIBRARIES = Path(aiohttp.__file__).resolve().parents[1]
 POLL_SECONDS = 0.001
 START_SECONDS = 15.0
 
@@ -44,6 +48,26 @@
     assert b'error: ' in errors
 
 
+async def test_a_start_without_site_packages_finds_the_libraries_of_the_build(
+    tmp_path: Path,
+) -> None:
+    """The program is run with -S; nothing else need put target/deps on the path."""
+    (tmp_path / 'deploy').mkdir()
+    (tmp_path / 'target').mkdir()
+    shutil.copy(PROGRAM, tmp_path / 'deploy')
+    (tmp_path / 'packages').symlink_to(PROGRAM.parents[1] / 'packages')
+    (tmp_path / 'target' / 'deps').symlink_to(LIBRARIES)
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-S',
+        str(tmp_path / 'deploy' / PROGRAM.name),
+        env={'DAISYLIFT_CONFIG': str(tmp_path / 'missing.ini')},
+        stderr=asyncio.subprocess.PIPE,
+    )
+    _, errors = await asyncio.wait_for(process.communicate(), START_SECONDS)
+    assert process.returncode == ExitStatus.SETTINGS, errors
+
+
 def ignores(pid: int, number: signal.Signals) -> bool:
     """Return whether the process ignores the signal, according to /proc."""
     for line in Path(f'/proc/{pid}/status').read_text().splitlines():
