--- a/tests/test_usage_start.py
+++ b/tests/test_usage_start.py
@@ -45,3 +45,13 @@
         pass
     token_at = 10.0 + 1.0 / PER_SECOND
     assert grants.retry_after('acme', token_at + 0.001) >= MIN_RETRY_AFTER_SECONDS
+
+
+def test_the_first_vm_of_a_fleet_serves_its_tenants_at_once() -> None:
+    """Callers got 429 in the first three seconds of a new deployment."""
+    grants = UsageGrants('vm-1', UsageBounds(), 0.0, random.Random(1))
+    grants.set_members({}, 0.01)
+    grants.set_members({'vm-1': 'arusha'}, 0.05)
+    moments = [0.05 + step / 100 for step in range(100)]
+    taken = [grants.take('acme', PER_SECOND, BURST, at) for at in moments]
+    assert sum(each is not None for each in taken) >= 0.9 * PER_SECOND
