Know the registered VMs before the first request under a cap

What callers saw: 429 for up to half a second after a start, as the registered VMs were applied to usage caps each 0.5 s only. They are applied with the first request that needs them now, and a VM with tenants says that it is ready once it knows them, so callers are not sent to it before.

--- a/packages/daisylift-node/src/daisylift_node/process/entry_application.py
+++ b/packages/daisylift-node/src/daisylift_node/process/entry_application.py
@@ -342,7 +342,8 @@
     @property
     def is_ready(self) -> bool:
         """Return whether callers should be sent to this VM."""
-        return self.view.is_ready and not self.handler.is_stopping
+        is_serving = self.view.is_ready and self.usage.is_ready
+        return is_serving and not self.handler.is_stopping
 
     async def _gossip(self) -> None:
         self.peers.liveness.ready = self.is_ready
--- a/packages/daisylift-node/src/daisylift_node/process/usage_exchange.py
+++ b/packages/daisylift-node/src/daisylift_node/process/usage_exchange.py
@@ -61,6 +61,15 @@
         self._member_names: tuple[str, ...] | None = None
         self._hashed_tenants: Mapping[str, Tenant] | None = None
 
+    @property
+    def is_ready(self) -> bool:
+        """Return whether this VM knows its part of the caps, if there are any."""
+        routes = self._view.routes
+        if routes is None or not routes.state.tenants_by_name:
+            return True
+        self._apply_members()
+        return self._grants.knows_members
+
     async def admit(self, call: SteeredCall) -> float | None:
         """Take a token for the call, if its tenant has a cap.
 
@@ -69,6 +78,7 @@
         tenant = self._capped(call.tenant)
         if tenant is None:
             return None
+        self._apply_members()
         ticket = self._take(tenant)
         if ticket is None:
             future: asyncio.Future[UsageTicket | None] = (
@@ -154,18 +164,21 @@
         """Apply the registered VMs, and which of them seem to be lost."""
         if not self._view.members.is_loaded:
             return
+        self._apply_members()
         names = self._view.member_names
-        if names is not self._member_names:
-            self._member_names = names
-            members = self._view.members_by_name.values()
-            self._grants.set_members(
-                {each.name: each.region for each in members}, now()
-            )
         routes = self._view.routes
         if routes is not None and routes.state.tenants_by_name:
             alive = sum(map(self._is_alive, names))
             self._grants.set_lost(len(names) - alive, alive)
 
+    def _apply_members(self) -> None:
+        names = self._view.member_names
+        if names is self._member_names or not self._view.members.is_loaded:
+            return
+        self._member_names = names
+        members = self._view.members_by_name.values()
+        self._grants.set_members({each.name: each.region for each in members}, now())
+
     async def discard_idle(self) -> None:
         """Drop what is held for tenants without requests."""
         self._grants.discard_idle(now())
--- a/packages/daisylift/src/daisylift/decisions/usage_grants.py
+++ b/packages/daisylift/src/daisylift/decisions/usage_grants.py
@@ -170,6 +170,11 @@
         self._asked: dict[int, _Asked] = {}
         self._next_id = rng.getrandbits(ASK_ID_BITS)
 
+    @property
+    def knows_members(self) -> bool:
+        """Return whether the registered VMs are known."""
+        return bool(self._rings)
+
     def set_members(self, region_by_name: Mapping[str, str], now: float) -> None:
         """Set the registered VMs and their regions.
 
