Cap a tenant in the soak only

The demo starts the soak's fleet and asks it at once. Its tenant got a cap with the soak's, and VMs that join a fleet hold their part of a cap back for 3 s, so the demo met 429.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -36,7 +36,7 @@
     """Run one seed and return its ledger; logs stay in a temporary folder."""
     folder = Path(tempfile.mkdtemp(prefix=f'daisylift-soak-{seed}-'))
     has_tenants = seed % TENANT_SEEDS != 0
-    fleet = Fleet(folder, vms, len(DOMAINS), has_tenants)
+    fleet = Fleet(folder, vms, len(DOMAINS), has_tenants, has_caps=True)
     try:
         await fleet.start()
         caller_group = CallerGroup(fleet, random.Random(seed))
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -65,8 +65,8 @@
     return f'key-{version}'
 
 
-def _cap_of(tenant: str) -> dict[str, float]:
-    if tenant != CAPPED_TENANT:
+def _cap_of(tenant: str, has_caps: bool) -> dict[str, float]:
+    if tenant != CAPPED_TENANT or not has_caps:
         return {}
     return {'requests_per_s': CAP_PER_SECOND, 'burst': CAP_BURST}
 
@@ -104,6 +104,7 @@
     vm_count: int
     servers_per_service: int
     has_tenants: bool = True
+    has_caps: bool = False
     ledger: Ledger = field(default_factory=Ledger)
     store: FakePlatform = field(default_factory=FakePlatform)
     vms: list[EntryVm] = field(default_factory=list)
@@ -212,7 +213,7 @@
         held = (number - 1, number) if self.has_tenants else ()
         tenant_by_key = {key_of(n): f'tenant-{n % 2}' for n in held}
         tenants = [
-            {'name': name, 'keys': [key], 'priority': 1, **_cap_of(name)}
+            {'name': name, 'keys': [key], 'priority': 1, **_cap_of(name, self.has_caps)}
             for key, name in tenant_by_key.items()
         ]
         document = make_desired_state(number, *rules, tenants=tenants)
