Send signals in series without reaping the process under test

Cause, in the test: subprocess.Popen.send_signal() polls first, and so can reap the process before asyncio's watcher waits for it; the watcher then reports 255.

The soak sends SIGHUP in series in the same way and does likewise now; it does not look at exit statuses, so it had no false finding by this.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import itertools
+import os
 import random
 import signal
 import sys
 from collections.abc import Coroutine
+from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -488,7 +490,9 @@
     ends_at = loop.time() + seconds
     while process.returncode is None and loop.time() < ends_at:
         if survives(process.pid, signal.SIGHUP):
-            process.send_signal(signal.SIGHUP)
+            # Not send_signal(): it polls, and may reap the process before asyncio does.
+            with suppress(ProcessLookupError):
+                os.kill(process.pid, signal.SIGHUP)
         await asyncio.sleep(POLL_PERIOD_SECONDS / 10)
 
 
--- a/tests/test_entry_signals.py
+++ b/tests/test_entry_signals.py
@@ -5,7 +5,9 @@
 """
 
 import asyncio
+import os
 import signal
+from contextlib import suppress
 from pathlib import Path
 
 from soak.fleet import GRACE_SECONDS, Fleet
@@ -40,7 +42,9 @@
 
 async def flood(process: asyncio.subprocess.Process, number: signal.Signals) -> None:
     while process.returncode is None:
-        process.send_signal(number)
+        # Not send_signal(): it polls, and may reap the process before asyncio does.
+        with suppress(ProcessLookupError):
+            os.kill(process.pid, number)
         await asyncio.sleep(SIGNAL_PERIOD_SECONDS)
 
 
